--- /dev/null
+++ b/apps/cherryloft/main.cpp
@@ -0,0 +1,71 @@
+// The controller daemon.
+#include <CLI/CLI.hpp>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+
+#include "daemon/daemon.h"
+
+using namespace cherryloft;
+
+int main(int argc, char** argv) {
+  CLI::App app{"cherryloft, a cluster scheduler: one controller"};
+  std::string config;
+  bool check = false;
+  Tuning tuning;
+  std::int64_t ttlMs = tuning.holdTtl.count();
+  double handBackS = inSeconds(tuning.handBackAfter), moveS = inSeconds(tuning.moveEvery);
+  app.set_version_flag("--version", std::string("cherryloft ") + CHERRYLOFT_VERSION);
+  app.add_option("--config", config, "settings file that the platform hands over (JSON)")->required();
+  app.add_flag("--check", check, "check command line and settings, then exit");
+  app.add_option("--hold-ttl-ms", ttlMs, "life of this controller's hold in the state service")
+      ->envname("CHERRYLOFT_HOLD_TTL_MS")
+      ->check(CLI::Range(500, 60000))
+      ->capture_default_str();
+  app.add_option("--hand-back-after-s", handBackS,
+                 "how long a controller must be back before it gets its share")
+      ->envname("CHERRYLOFT_HAND_BACK_AFTER_S")
+      ->check(CLI::Range(0.0, 3600.0))
+      ->capture_default_str();
+  app.add_option("--move-every-s", moveS, "how often idle machines move between shares")
+      ->envname("CHERRYLOFT_MOVE_EVERY_S")
+      ->check(CLI::Range(1.0, 3600.0))
+      ->capture_default_str();
+  app.add_option("--sample", tuning.sample, "machines peeked at for a placement (K)")
+      ->envname("CHERRYLOFT_SAMPLE")
+      ->check(CLI::Range(1, 100000))
+      ->capture_default_str();
+  app.add_option("--spare-share", tuning.spareShare, "room kept above what is asked for, as a share of it")
+      ->envname("CHERRYLOFT_SPARE_SHARE")
+      ->check(CLI::Range(0.0, 10.0))
+      ->capture_default_str();
+  app.add_option("--seed", tuning.seed, "seed of all random choices, 0 for a new one each time")
+      ->envname("CHERRYLOFT_SEED")
+      ->capture_default_str();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::Success& e) {
+    return app.exit(e);
+  } catch (const CLI::ParseError& e) {
+    std::cerr << "cherryloft: " << e.what() << "\n";
+    return 2;
+  }
+  tuning.holdTtl = Duration{ttlMs};
+  tuning.handBackAfter = seconds(handBackS);
+  tuning.moveEvery = seconds(moveS);
+  try {
+    auto settings = readSettings(config, tuning);
+    if (check) {
+      std::cout << "settings of " << settings.node.value << " are good\n";
+      return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const char* level = std::getenv("LOG_LEVEL");
+    return runDaemon(settings, makeLog(settings.node.value, level ? level : "error"));
+  } catch (const std::exception& e) {
+    std::cerr << "cherryloft: " << e.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/actors/api.cpp
@@ -0,0 +1,175 @@
+#include "actors/api.h"
+
+#include <algorithm>
+
+#include "policy/admission.h"
+#include "wire/users.h"
+
+namespace cherryloft {
+namespace {
+constexpr Duration kCreate{2'000};
+constexpr Duration kStrongRead{1'000};  // users wait 2 s for a poll
+constexpr Duration kAskOwner{600};
+constexpr Duration kWithdraw{2'500};
+}  // namespace
+
+Api::Api(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir, Peers& peers,
+         Outlet out)
+    : settings_(settings),
+      io_(io),
+      log_(std::move(log)),
+      store_(store),
+      dir_(dir),
+      peers_(peers),
+      out_(std::move(out)) {}
+
+const KnownJob* Api::known(const JobId& id) const {
+  auto it = dir_.jobs.find(id);
+  return it == dir_.jobs.end() ? nullptr : &it->second;
+}
+
+HttpResponse Api::ended(const JobId& id, const KnownJob& job) const {
+  auto done = job.status == JobStatus::Done ? job.tasks : 0;
+  return {200, wire::encodeJob(id, {job.status, job.tasks, done, 0}), false, 0};
+}
+
+// --- submissions ---
+
+void Api::submit(const std::string& body, Responder done) {
+  auto parsed = wire::parseSubmission(body);
+  if (const auto* bad = std::get_if<wire::Malformed>(&parsed)) {
+    if (bad->id) return refuse(*bad->id, 400, bad->why, std::move(done));
+    return done(wire::userError(400, bad->why));
+  }
+  auto& spec = std::get<JobSpec>(parsed);
+  // A job accepted before is answered with its state, whatever its retry looks like.
+  if (known(spec.id)) return poll(spec.id, std::move(done));
+  // What can't be taken is answered at once.
+  if (!out_.hasStore()) return done(wire::userUnavailable("no connection to the state service"));
+  if (dir_.catalog.empty()) return done(wire::userUnavailable("the machine types are not known yet"));
+  if (auto why = policy::neverRuns(spec, settings_, dir_.catalog))
+    return refuse(spec.id, 422, *why, std::move(done));
+  accept(std::move(spec), std::move(done));
+}
+
+// A refusal is given only once the store says that the job was never accepted.
+void Api::refuse(const JobId& id, int status, const std::string& why, Responder done) {
+  if (known(id)) return poll(id, std::move(done));
+  strongRead(id, [status, why, done = std::move(done)](HttpResponse r) {
+    done(r.status == 404 ? wire::userError(status, why) : std::move(r));
+  });
+}
+
+void Api::accept(JobSpec spec, Responder done) {
+  auto id = spec.id;
+  wire::JobRecord record{JobStatus::Open, settings_.shareOfTeam(spec.team), spec.tasks, 0, io_.wall(), {}};
+  record.chunk = static_cast<std::uint32_t>(std::clamp<std::size_t>(settings_.valueBytes / 64, 8, 1024));
+  record.spec = std::move(spec);
+  auto value = wire::encodeJobRecord(record);
+  if (value.size() > settings_.valueBytes)
+    return done(wire::userError(400, "the job's description is too long"));
+  store_.create({keys::job(id), value, {}}, kCreate, [this, id, value, done = std::move(done)](TxnResult r) {
+    switch (r.outcome) {
+      case TxnResult::Outcome::Ok:
+        out_.learnt({keys::job(id), value, r.revision});
+        return done({201, wire::encodeJob(id, {}), false, 0});
+      case TxnResult::Outcome::Conflict:
+        return strongRead(id, done);
+      default:
+        // Whether it was taken or not, the retry with the same id finds out.
+        return done(wire::userUnavailable("the state service does not answer"));
+    }
+  });
+}
+
+// --- questions ---
+
+void Api::poll(const JobId& id, Responder done) {
+  const KnownJob* job = known(id);
+  if (!job) return strongRead(id, std::move(done));
+  if (job->status != JobStatus::Open) return done(ended(id, *job));
+  if (Scheduler* s = out_.scheduler(job->share)) {
+    if (auto view = s->poll(id)) return done({200, wire::encodeJob(id, *view), false, 0});
+    return strongRead(id, std::move(done));
+  }
+  const NodeId* owner = dir_.ownerOf(job->share);
+  if (!owner || *owner == settings_.node) return strongRead(id, std::move(done));
+  peers_.ask(*owner, mesh::JobAsk{0, false, id.value}, kAskOwner,
+             [this, id, done = std::move(done)](const mesh::Answer* a) {
+               if (a && a->status > 0) return done({a->status, a->body, false, 0});
+               strongRead(id, done);
+             });
+}
+
+void Api::strongRead(const JobId& id, Responder done) {
+  if (!out_.hasStore()) return done(wire::userUnavailable("no connection to the state service"));
+  store_.get(Urgency::User, keys::job(id), kStrongRead, [this, id, done = std::move(done)](GetResult r) {
+    switch (r.outcome) {
+      case GetResult::Outcome::Absent:
+        return done(wire::userError(404, "no such job"));
+      case GetResult::Outcome::Failed:
+        return done(wire::userUnavailable("the state service does not answer"));
+      case GetResult::Outcome::Found:
+        break;
+    }
+    out_.learnt(r.entry);
+    const KnownJob* job = known(id);
+    if (!job) return done(wire::userUnavailable("the job's record is unreadable"));
+    if (job->status != JobStatus::Open) return done(ended(id, *job));
+    done({200, wire::encodeJob(id, {JobStatus::Open, job->tasks, 0, 0}), false, 0});
+  });
+}
+
+void Api::withdraw(const JobId& id, Responder done) {
+  if (const KnownJob* job = known(id)) return withdrawKnown(id, job->share, std::move(done));
+  strongRead(id, [this, id, done = std::move(done)](HttpResponse r) {
+    const KnownJob* job = known(id);
+    if (r.status != 200 || !job) return done(std::move(r));
+    withdrawKnown(id, job->share, done);
+  });
+}
+
+void Api::withdrawKnown(const JobId& id, ShareNo share, Responder done) {
+  const KnownJob* job = known(id);
+  if (job->status != JobStatus::Open) return done(ended(id, *job));
+  if (Scheduler* s = out_.scheduler(share)) {
+    auto answered = std::make_shared<bool>(false);
+    auto once = [answered, done](HttpResponse r) {
+      if (!std::exchange(*answered, true)) done(std::move(r));
+    };
+    bool taken = s->withdraw(id, [this, id, once](JobStatus) {
+      const KnownJob* j = known(id);
+      if (j && j->status != JobStatus::Open)
+        once(ended(id, *j));
+      else
+        once(wire::userUnavailable("the job's record is unreadable"));
+    });
+    if (!taken) return done(wire::userUnavailable("the job's share is being taken over"));
+    io_.after(kWithdraw, [once] { once(wire::userUnavailable("the state service does not answer")); });
+    return;
+  }
+  const NodeId* owner = dir_.ownerOf(share);
+  if (!owner || *owner == settings_.node || !dir_.alive(*owner))
+    return done(wire::userUnavailable("the job's share is being taken over"));
+  peers_.ask(*owner, mesh::JobAsk{0, true, id.value}, kWithdraw + Duration{300},
+             [done = std::move(done)](const mesh::Answer* a) {
+               if (a && a->status > 0) return done({a->status, a->body, false, a->status == 503 ? 1 : 0});
+               done(wire::userUnavailable("the owner of the job's share does not answer"));
+             });
+}
+
+void Api::asked(const mesh::JobAsk& ask, std::function<void(mesh::Answer)> done) {
+  JobId id{ask.job};
+  auto reply = [id = ask.id, done = std::move(done)](HttpResponse r) {
+    done({id, r.status, std::move(r.body)});
+  };
+  const KnownJob* job = known(id);
+  if (job && job->status != JobStatus::Open) return reply(ended(id, *job));
+  Scheduler* s = job ? out_.scheduler(job->share) : nullptr;
+  if (!s) return reply({});
+  if (ask.withdraw) return withdrawKnown(id, job->share, reply);
+  auto view = s->poll(id);
+  reply(view ? HttpResponse{200, wire::encodeJob(id, *view), false, 0} : HttpResponse{});
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/api.h
@@ -0,0 +1,44 @@
+// Api: answers users. Any controller answers for any job (invariant 9).
+#pragma once
+
+#include "actors/directory.h"
+#include "actors/peers.h"
+#include "actors/scheduler.h"
+#include "actors/store.h"
+
+namespace cherryloft {
+
+class Api {
+ public:
+  struct Outlet {
+    std::function<Scheduler*(ShareNo)> scheduler;        // ours for that share, or null
+    std::function<bool()> hasStore;                      // our hold is valid
+    std::function<void(const wire::KeyChange&)> learnt;  // a record read or written here
+  };
+  Api(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir, Peers& peers,
+      Outlet out);
+
+  void submit(const std::string& body, Responder done);
+  void poll(const JobId& id, Responder done);
+  void withdraw(const JobId& id, Responder done);
+  // A sibling asks us as the owner of the job's share; status 0 says we can't tell.
+  void asked(const mesh::JobAsk& ask, std::function<void(mesh::Answer)> done);
+
+ private:
+  const KnownJob* known(const JobId& id) const;
+  void accept(JobSpec spec, Responder done);
+  void refuse(const JobId& id, int status, const std::string& why, Responder done);
+  void strongRead(const JobId& id, Responder done);
+  HttpResponse ended(const JobId& id, const KnownJob& job) const;
+  void withdrawKnown(const JobId& id, ShareNo share, Responder done);
+
+  const Settings& settings_;
+  Io& io_;
+  Log log_;
+  StateStore& store_;
+  const Directory& dir_;
+  Peers& peers_;
+  Outlet out_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/fleet.h
@@ -0,0 +1,90 @@
+// Fleet: acts on the leader only. Rents, adopts, moves and returns machines.
+#pragma once
+
+#include <set>
+
+#include "actors/directory.h"
+#include "actors/io.h"
+#include "actors/store.h"
+#include "mesh/messages.h"
+#include "policy/fleet.h"
+#include "wire/cloud.h"
+#include "wire/workers.h"
+
+namespace cherryloft {
+
+class Fleet {
+ public:
+  struct Outlet {
+    std::function<void(const mesh::GiveUp&)> giveUp;  // to the owner of the share
+  };
+  Fleet(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir,
+        std::uint64_t seed, Outlet out);
+  void start();
+  void leading(bool yes);
+  void load(const mesh::ShareLoad& l);
+  // A machine without a record has reported.
+  void hostSeen(const wire::Report& r);
+
+ private:
+  struct ShareState {
+    mesh::ShareLoad load;
+    Time at;
+  };
+  struct Rental {
+    wire::Rental request;
+    ShareNo share;
+    double cores = 0;
+    Time since;
+  };
+
+  void tick();
+  void call(HttpRequest r, HttpDone done);
+  void fetchCatalog();
+  void saveCatalog(const Catalog& fresh);
+  void listHosts(std::string since, std::shared_ptr<std::vector<wire::ListedHost>> sofar);
+  void listed(const std::vector<wire::ListedHost>& hosts);
+  void reviewRecords();
+  void adopt(const HostId& id, wire::HostRecord record);
+  void markReturning(const HostId& id, const char* why);
+  void returnMarked();
+  void plan();
+  void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
+  void move(const std::map<ShareNo, policy::ShareFleet>& fleets,
+            const std::map<ShareNo, policy::Targets>& targets);
+  policy::ShareFleet fleetOf(ShareNo k) const;
+  std::set<policy::Offer> unavailable() const;
+  void rent(std::shared_ptr<Rental> r);
+  void rented(std::shared_ptr<Rental> r, const HttpResult& h);
+  void record(const std::vector<HostId>& hosts, const Rental& r);
+  ShareNo neediest() const;
+  double bootS() const;
+
+  const Settings& settings_;
+  Io& io_;
+  Log log_;
+  StateStore& store_;
+  const Directory& dir_;
+  std::mt19937_64 rng_;
+  Outlet out_;
+  bool leads_ = false;
+  Time ledSince_{};
+  double calls_ = 0;
+  Time refilled_{};
+  Catalog prices_;  // the cloud's own, with current spot prices
+  Time catalogAt_{}, listAt_{}, moveAt_{};
+  bool catalogBusy_ = false, listBusy_ = false, returnBusy_ = false;
+  std::map<ShareNo, ShareState> loads_;
+  std::map<policy::Offer, Time> refusedUntil_;
+  std::map<policy::Offer, Duration> refusedFor_;
+  std::vector<std::shared_ptr<Rental>> rentals_;  // not yet answered
+  std::uint64_t claims_ = 0;
+  std::map<HostId, Time> lastListed_;
+  std::map<HostId, wire::ListedHost> listing_;
+  std::set<HostId> marking_, adopting_;
+  std::map<HostId, std::pair<ShareNo, double>> adoptedCores_;  // while their records are being written
+  std::set<HostId> returned_;
+  std::map<HostId, Time> asked_;  // machines whose owner was told to give them up
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/membership.cpp
@@ -0,0 +1,288 @@
+#include "actors/membership.h"
+
+#include <algorithm>
+
+namespace cherryloft {
+namespace {
+constexpr Duration kReviewEvery{250};
+constexpr Duration kStep{1'500};       // how long the next in line waits for the one before
+constexpr Duration kColdStart{4'000};  // a share nobody ever owned waits this long for its home controller
+constexpr Duration kAskAgain{5'000};
+constexpr double kDrift = 0.001;  // twice what a steady clock may be off
+constexpr Duration kRounding{20};
+}  // namespace
+
+Membership::Membership(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir,
+                       Outlet out)
+    : settings_(settings), io_(io), log_(std::move(log)), store_(store), dir_(dir), out_(std::move(out)) {}
+
+void Membership::start() {
+  open();
+  review();
+}
+
+void Membership::open() {
+  if (opening_) return;
+  opening_ = true;
+  auto sent = io_.now();
+  store_.openHold(settings_.tuning.holdTtl, [this, sent](std::optional<std::uint64_t> id) {
+    opening_ = false;
+    if (!id) {
+      io_.after(Duration{200}, [this] { open(); });
+      return;
+    }
+    hold_ = id;
+    silent_ = true;
+    renewed(sent, StateStore::Renewal::Good);
+    join();
+  });
+}
+
+// Writes our node/ key under the hold. It must fail when a share we believe ours was taken meanwhile.
+void Membership::join() {
+  if (!hold_) return;
+  auto again = [this] { io_.after(Duration{100}, [this] { join(); }); };
+  if (!store_.mirrored()) return again();
+  store_.catchUp(keys::kNodes, [this, again](bool nodesOk) {
+    if (!nodesOk) return again();
+    store_.catchUp(keys::kShares, [this, again](bool sharesOk) {
+      if (!hold_) return;
+      if (!sharesOk) return again();
+      review();  // drops what the directory shows as taken
+      wire::Transaction t;
+      auto me = dir_.nodes.find(settings_.node);
+      t.when[keys::node(settings_.node)] = me == dir_.nodes.end() ? Stamp{0} : me->second;
+      for (const auto& [k, _] : owned_) t.when[keys::share(k)] = dir_.shares.at(k).stamp;
+      t.apply.push_back(
+          {keys::node(settings_.node), "{\"at\":" + std::to_string(io_.wall().value) + "}", hold_});
+      store_.txn(Urgency::Hold, std::move(t), Duration{1'000}, [this, again](TxnResult r) {
+        if (!hold_) return;
+        if (r.outcome == TxnResult::Outcome::NoHold) {
+          hold_.reset();
+          return open();
+        }
+        if (!r.ok()) return again();
+        joined_ = true;
+        joinStamp_ = r.revision;
+        log_->info("joined with hold {}", *hold_);
+        out_.standing(standing());
+        review();
+      });
+    });
+  });
+}
+
+void Membership::renew() {
+  if (!hold_) return;
+  auto sent = io_.now();
+  auto patience = std::max(settings_.tuning.holdTtl / 3, Duration{100});
+  store_.renewHold(*hold_, patience, [this, sent](StateStore::Renewal r) { renewed(sent, r); });
+}
+
+void Membership::renewed(Time sent, StateStore::Renewal r) {
+  auto now = io_.now();
+  switch (r) {
+    case StateStore::Renewal::Good:
+      extend(sent);
+      if (silent_ && joined_) store_.restartWatches();
+      silent_ = false;
+      io_.after(std::max(sent + settings_.tuning.holdTtl / 4 - now, Duration{10}), [this] { renew(); });
+      break;
+    case StateStore::Renewal::NoAnswer:
+      silent_ = true;
+      io_.after(Duration{150}, [this] { renew(); });
+      break;
+    case StateStore::Renewal::Gone:
+      log_->info("hold {} is gone", *hold_);
+      hold_.reset();
+      joined_ = false;
+      silent_ = true;
+      own_.ownsUntil = std::min(own_.ownsUntil, now);
+      out_.standing(standing());
+      open();
+      break;
+  }
+}
+
+void Membership::extend(Time sent) {
+  auto ttl = settings_.tuning.holdTtl;
+  auto drift = Duration{static_cast<std::int64_t>(static_cast<double>(ttl.count()) * kDrift)};
+  own_.ownsUntil = std::max(own_.ownsUntil, sent + ttl - drift - kRounding);
+  own_.answersUntil = std::max(own_.answersUntil, own_.ownsUntil + settings_.grace());
+  out_.standing(standing());
+}
+
+// Until the node/ key hangs on the hold, the hold keeps nobody from taking our shares.
+Standing Membership::standing() const {
+  Standing s = own_;
+  if (!joined_) s.ownsUntil = Time{};
+  return s;
+}
+
+void Membership::changed() { review(); }
+
+unsigned Membership::rankFor(ShareNo k) const {
+  unsigned rank = 0;
+  for (unsigned i = 0; i < settings_.size(); ++i) {
+    const auto& n = settings_.nodes[(k.value + i) % settings_.size()];
+    if (n == settings_.node) return rank;
+    rank += dir_.alive(n);
+  }
+  return rank;
+}
+
+void Membership::review() {
+  auto now = io_.now();
+  if (!reviewSet_) {
+    reviewSet_ = true;
+    io_.after(kReviewEvery, [this] {
+      reviewSet_ = false;
+      review();
+    });
+  }
+  for (const auto& n : settings_.nodes) {
+    if (dir_.alive(n))
+      aliveSince_.try_emplace(n, now);
+    else
+      aliveSince_.erase(n);
+  }
+  // Shares that others took while we were away.
+  for (auto it = owned_.begin(); it != owned_.end();) {
+    auto seen = dir_.shares.find(it->first);
+    bool lost = seen != dir_.shares.end() && seen->second.record.epoch > it->second && !mine(seen->second);
+    auto k = it->first;
+    if (lost) {
+      log_->info("share {} now belongs to {}", k.value, seen->second.record.owner.value);
+      it = owned_.erase(it);
+      out_.lost(k);
+    } else {
+      ++it;
+    }
+  }
+  bool able = joined_ && standing().owns(now);
+  bool leads = able && dir_.leader && mine(*dir_.leader) && dir_.leader->stamp > joinStamp_;
+  if (leads != leads_) {
+    leads_ = leads;
+    out_.leading(leads);
+  }
+  if (!able || taking_) return;
+  for (unsigned i = 0; i < settings_.size() && !taking_; ++i) reviewShare(ShareNo{i}, now);
+  if (!taking_) reviewLeader(now);
+}
+
+void Membership::reviewShare(ShareNo k, Time now) {
+  auto seen = dir_.shares.find(k);
+  const KnownOwner* o = seen == dir_.shares.end() ? nullptr : &seen->second;
+  if (owned_.count(k) > 0) {
+    const auto& home = settings_.nodes[k.value];
+    auto alive = aliveSince_.find(home);
+    if (home == settings_.node || alive == aliveSince_.end()) return;
+    auto& asked = handBackAsked_[k];
+    if (now - alive->second < settings_.tuning.handBackAfter || now - asked < kAskAgain) return;
+    asked = now;
+    out_.handBack(k, home);
+    return;
+  }
+  if (o && mine(*o)) {
+    // Given back to this very process: its epoch is fresh. Left over from an earlier process: draw a new one.
+    if (o->stamp > joinStamp_ && o->record.epoch > used_[k])
+      adopt(k, o->record.epoch, o->stamp);
+    else
+      take(k, o);
+    return;
+  }
+  if (o && dir_.alive(o->record.owner)) {
+    orphanSince_.erase(k);
+    return;
+  }
+  auto since = orphanSince_.try_emplace(k, now).first->second;
+  auto wait = kStep * rankFor(k);
+  if (!o && settings_.nodes[k.value] != settings_.node) wait += kColdStart;
+  if (now - since >= wait) take(k, o);
+}
+
+void Membership::reviewLeader(Time now) {
+  const KnownOwner* o = dir_.leader ? &*dir_.leader : nullptr;
+  if (leads_) return;
+  bool left = o && mine(*o);
+  if (o && !left && dir_.alive(o->record.owner)) {
+    leaderless_.reset();
+    return;
+  }
+  if (!leaderless_) leaderless_ = now;
+  if (left || now - *leaderless_ >= kStep * rankFor(ShareNo{0}))
+    draw(keys::kLeader, o, [this](Epoch e, Stamp) { log_->info("leading with epoch {}", e.value); });
+}
+
+// Makes us the owner in a record, with a new epoch; fails if the former owner is alive after all.
+void Membership::draw(const std::string& key, const KnownOwner* former,
+                      std::function<void(Epoch, Stamp)> done) {
+  wire::Transaction t;
+  Epoch next{dir_.epoch.value + 1};
+  t.when[key] = former ? former->stamp : Stamp{0};
+  t.when[keys::kEpoch] = dir_.epochStamp;
+  t.when[keys::node(settings_.node)] = joinStamp_;
+  if (former && !mine(*former)) t.when[keys::node(former->record.owner)] = Stamp{0};
+  t.apply.push_back({key, wire::encodeOwnerRecord({settings_.node, next}), {}});
+  t.apply.push_back({keys::kEpoch, wire::encodeCounter(next), {}});
+  taking_ = true;
+  store_.txn(Urgency::Control, std::move(t), Duration{1'500},
+             [this, next, done = std::move(done)](TxnResult r) {
+               if (r.ok()) done(next, r.revision);
+               refresh();
+             });
+}
+
+// The directory must show what was just written, or what kept it from being written, before we go on.
+void Membership::refresh() {
+  store_.catchUp(keys::kShares, [this](bool) {
+    store_.catchUp(keys::kNodes, [this](bool ok) {
+      taking_ = false;
+      if (ok) review();
+    });
+  });
+}
+
+void Membership::take(ShareNo k, const KnownOwner* former) {
+  draw(keys::share(k), former, [this, k](Epoch e, Stamp s) { adopt(k, e, s); });
+}
+
+void Membership::adopt(ShareNo k, Epoch e, Stamp s) {
+  log_->info("share {} taken with epoch {}", k.value, e.value);
+  owned_[k] = e;
+  used_[k] = e;
+  orphanSince_.erase(k);
+  handBackAsked_[k] = io_.now();
+  out_.taken({k, e, s, settings_.grace()});
+}
+
+void Membership::give(ShareNo k, Stamp stamp, const NodeId& to, std::function<void(bool)> done) {
+  auto node = dir_.nodes.find(to);
+  if (taking_ || !joined_ || node == dir_.nodes.end()) return done(false);
+  wire::Transaction t;
+  Epoch next{dir_.epoch.value + 1};
+  t.when[keys::share(k)] = stamp;
+  t.when[keys::kEpoch] = dir_.epochStamp;
+  t.when[keys::node(settings_.node)] = joinStamp_;
+  t.when[keys::node(to)] = node->second;
+  t.apply.push_back({keys::share(k), wire::encodeOwnerRecord({to, next}), {}});
+  t.apply.push_back({keys::kEpoch, wire::encodeCounter(next), {}});
+  taking_ = true;
+  store_.txn(Urgency::Control, std::move(t), Duration{1'500}, [this, k, done = std::move(done)](TxnResult r) {
+    bool refused = r.outcome == TxnResult::Outcome::Refused || r.outcome == TxnResult::Outcome::Conflict;
+    if (!refused) owned_.erase(k);  // given, or in doubt: either way we act for it no more
+    done(!refused);
+    refresh();
+  });
+}
+
+void Membership::abandon(ShareNo k) {
+  if (owned_.erase(k) == 0) return;
+  out_.lost(k);
+  if (!taking_) {
+    taking_ = true;
+    refresh();
+  }
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/membership.h
@@ -0,0 +1,89 @@
+// Membership: this controller's hold, the shares it owns, and who leads.
+#pragma once
+
+#include <set>
+
+#include "actors/directory.h"
+#include "actors/store.h"
+
+namespace cherryloft {
+
+// Until when a controller may do what, by its own steady clock (invariant 6).
+struct Standing {
+  Time ownsUntil{};     // starts, forgets, non-terminal answers
+  Time answersUntil{};  // check-ins without new orders
+  bool owns(Time now) const { return now < ownsUntil; }
+  bool answers(Time now) const { return now < answersUntil; }
+};
+
+struct Taken {
+  ShareNo share;
+  Epoch epoch;
+  Stamp stamp;
+  // How long the former owner may have gone on answering check-ins.
+  Duration formerAnswers{0};
+};
+
+class Membership {
+ public:
+  struct Outlet {
+    std::function<void(const Standing&)> standing;
+    std::function<void(const Taken&)> taken;
+    std::function<void(ShareNo)> lost;
+    std::function<void(bool)> leading;
+    std::function<void(ShareNo, NodeId)> handBack;  // asks the share's actor to let go
+  };
+
+  Membership(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir, Outlet out);
+  void start();
+  // The directory changed under share/ or node/.
+  void changed();
+  Standing standing() const;
+  bool leads() const { return leads_; }
+  bool joined() const { return joined_; }
+  // Gives a share to its home controller; done tells whether it is gone.
+  void give(ShareNo k, Stamp stamp, const NodeId& to, std::function<void(bool)> done);
+  // The share's actor found that it does not own it any more, or that its books are in doubt.
+  void abandon(ShareNo k);
+
+ private:
+  void open();
+  void join();
+  void renew();
+  void renewed(Time sent, StateStore::Renewal r);
+  void extend(Time sent);
+  void review();
+  void reviewShare(ShareNo k, Time now);
+  void reviewLeader(Time now);
+  void draw(const std::string& key, const KnownOwner* former, std::function<void(Epoch, Stamp)> done);
+  void refresh();
+  void take(ShareNo k, const KnownOwner* former);
+  void adopt(ShareNo k, Epoch e, Stamp s);
+  bool mine(const KnownOwner& o) const { return o.record.owner == settings_.node; }
+  // How many living controllers come before us in line for a share.
+  unsigned rankFor(ShareNo k) const;
+
+  const Settings& settings_;
+  Io& io_;
+  Log log_;
+  StateStore& store_;
+  const Directory& dir_;
+  Outlet out_;
+  std::optional<std::uint64_t> hold_;
+  bool joined_ = false;  // our node/ key hangs on the hold
+  Stamp joinStamp_;
+  bool opening_ = false;
+  bool silent_ = false;
+  Standing own_;
+  std::map<ShareNo, Epoch> owned_;
+  std::map<ShareNo, Epoch> used_;  // epochs this process has acted under
+  std::map<ShareNo, Time> orphanSince_;
+  std::map<ShareNo, Time> handBackAsked_;
+  std::map<NodeId, Time> aliveSince_;
+  std::optional<Time> leaderless_;
+  bool leads_ = false;
+  bool taking_ = false;  // an ownership change is on its way, or its outcome is being read
+  bool reviewSet_ = false;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/node.cpp
@@ -0,0 +1,208 @@
+#include "actors/node.h"
+
+#include "wire/users.h"
+
+namespace cherryloft {
+namespace {
+constexpr Duration kRelay{2'500};        // workers wait 4 s
+constexpr Duration kSteerAgain{20'000};  // a worker sent on that comes back sooner could not get there
+}  // namespace
+
+Node::Node(const Settings& settings, Io& io, Log log, std::uint64_t seed)
+    : settings_(settings),
+      io_(io),
+      log_(log),
+      rng_(seed),
+      store_(settings, io, log, rng_()),
+      peers_(settings, io,
+             {[this](std::uint32_t from, const mesh::Payload& p) { received(from, p); },
+              [this] {
+                return mesh::Pulse{0, membership_.standing().owns(io_.now()), serving()};
+              }}),
+      membership_(settings, io, log, store_, dir_,
+                  {[this](const Standing& s) {
+                     for (auto& [_, x] : schedulers_) x->standing(s);
+                   },
+                   [this](const Taken& t) { taken(t); }, [this](ShareNo k) { lost(k); },
+                   [this](bool leads) { fleet_.leading(leads); },
+                   [this](ShareNo k, NodeId to) {
+                     if (auto* s = scheduler(k)) s->handBack(to);
+                   }}),
+      fleet_(settings, io, log, store_, dir_, rng_(), {[this](const mesh::GiveUp& g) { giveUp(g); }}),
+      api_(settings, io, log, store_, dir_, peers_,
+           {[this](ShareNo k) { return scheduler(k); },
+            [this] { return membership_.standing().owns(io_.now()); },
+            [this](const wire::KeyChange& c) { changed(c); }}) {}
+
+void Node::start() {
+  for (const auto& prefix : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
+    store_.mirror(prefix, [this](const wire::KeyChange& c) { changed(c); });
+  membership_.start();
+  peers_.start();
+  fleet_.start();
+}
+
+Scheduler* Node::scheduler(ShareNo k) {
+  auto it = schedulers_.find(k);
+  return it == schedulers_.end() ? nullptr : it->second.get();
+}
+
+void Node::changed(const wire::KeyChange& c) {
+  dir_.apply(c, log_);
+  auto under = [&](const std::string& prefix) { return c.key.compare(0, prefix.size(), prefix) == 0; };
+  if (under(keys::kJobs)) {
+    JobId id{c.key.substr(keys::kJobs.size())};
+    for (auto& [_, s] : schedulers_) s->jobChanged(id);
+  } else if (under(keys::kHosts)) {
+    HostId id{c.key.substr(keys::kHosts.size())};
+    for (auto& [_, s] : schedulers_) s->hostChanged(id);
+  } else if (store_.mirrored()) {
+    membership_.changed();
+  }
+}
+
+void Node::taken(const Taken& t) {
+  Scheduler::Outlet out{[this](const JobId& id, JobStatus s, Stamp stamp) { jobEnded(id, s, stamp); },
+                        [this](const mesh::ShareLoad& l) { sendLoad(l); },
+                        // A turn of its own: the actor asks for its own end.
+                        [this, k = t.share] {
+                          io_.after(Duration{0}, [this, k] {
+                            membership_.abandon(k);
+                            lost(k);
+                          });
+                        },
+                        [this, k = t.share](Stamp stamp, const NodeId& to, std::function<void(bool)> done) {
+                          membership_.give(k, stamp, to, std::move(done));
+                        }};
+  auto& s = schedulers_[t.share];
+  s = std::make_unique<Scheduler>(settings_, io_, log_, store_, dir_, t, membership_.standing(), rng_(), out);
+  s->start();
+}
+
+void Node::lost(ShareNo k) { schedulers_.erase(k); }
+
+void Node::jobEnded(const JobId& id, JobStatus s, Stamp stamp) {
+  auto& j = dir_.jobs[id];
+  j.status = s;
+  j.stamp = stamp;
+  if (s == JobStatus::Done) j.spec.reset();
+}
+
+void Node::sendLoad(const mesh::ShareLoad& l) {
+  if (!dir_.leader) return;
+  if (dir_.leader->record.owner == settings_.node)
+    fleet_.load(l);
+  else
+    peers_.send(dir_.leader->record.owner, l);
+}
+
+void Node::giveUp(const mesh::GiveUp& g) {
+  ShareNo k{g.share};
+  if (auto* s = scheduler(k))
+    s->giveUp(g);
+  else if (const NodeId* owner = dir_.ownerOf(k))
+    peers_.send(*owner, g);
+}
+
+void Node::received(std::uint32_t from, const mesh::Payload& p) {
+  auto answer = [this, from](mesh::Answer a) { peers_.send(from, std::move(a)); };
+  if (const auto* ask = std::get_if<mesh::JobAsk>(&p)) {
+    api_.asked(*ask, answer);
+  } else if (const auto* relayed = std::get_if<mesh::CheckInAsk>(&p)) {
+    auto report = wire::parseReport(relayed->body);
+    auto host = report ? dir_.hosts.find(report->host) : dir_.hosts.end();
+    Scheduler* s = host == dir_.hosts.end() ? nullptr : scheduler(host->second.record.share);
+    if (!s) return answer({relayed->id, 503, ""});
+    auto a = s->checkIn(*report);
+    answer({relayed->id, a.status, std::move(a.body)});
+  } else if (const auto* seen = std::get_if<mesh::HostSeen>(&p)) {
+    if (auto report = wire::parseReport(seen->body)) fleet_.hostSeen(*report);
+  } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
+    fleet_.load(*load);
+  } else if (const auto* give = std::get_if<mesh::GiveUp>(&p)) {
+    if (auto* s = scheduler(ShareNo{give->share})) s->giveUp(*give);
+  }
+}
+
+// --- requests ---
+
+bool Node::serving() const { return store_.mirrored() && !dir_.catalog.empty(); }
+
+void Node::up(Responder done) {
+  // Out of service only if the store is lost to us alone: were it lost to all, taking all out would help
+  // nobody.
+  bool alone = !membership_.standing().owns(io_.now()) && peers_.someoneHasStore();
+  bool ok = serving() && !alone;
+  done({ok ? 200 : 503, ok ? "{}" : R"({"error":"not serving"})", false, 0});
+}
+
+void Node::request(HttpRequest r, Responder done) {
+  auto only = [&](const char* method) {
+    if (r.method == method) return true;
+    done(wire::userError(405, "method not allowed"));
+    return false;
+  };
+  auto path = r.target.substr(0, r.target.find('?'));
+  if (path == "/up") {
+    if (only("GET")) up(std::move(done));
+  } else if (path == "/checkin") {
+    if (only("POST")) checkIn(r.body, std::move(done));
+  } else if (path == "/v1/jobs") {
+    if (!only("POST")) return;
+    if (!store_.mirrored()) return done(wire::userUnavailable("starting"));
+    api_.submit(r.body, std::move(done));
+  } else if (path.compare(0, 9, "/v1/jobs/") == 0) {
+    jobs(r, std::move(done));
+  } else {
+    done(wire::userError(404, "no such path"));
+  }
+}
+
+void Node::jobs(const HttpRequest& r, Responder done) {
+  static const std::string kWithdraw = "/withdraw";
+  auto id = r.target.substr(9, r.target.find('?') - 9);
+  bool withdraw = id.size() > kWithdraw.size() && id.ends_with(kWithdraw);
+  if (withdraw) id.resize(id.size() - kWithdraw.size());
+  if (r.method != (withdraw ? "POST" : "GET")) return done(wire::userError(405, "method not allowed"));
+  if (!wire::isJobId(id)) return done(wire::userError(404, "no such job"));
+  if (!store_.mirrored()) return done(wire::userUnavailable("starting"));
+  if (withdraw)
+    api_.withdraw(JobId{id}, std::move(done));
+  else
+    api_.poll(JobId{id}, std::move(done));
+}
+
+void Node::checkIn(const std::string& body, Responder done) {
+  auto unavailable = [&](const char* why) { done(wire::userError(503, why)); };
+  auto report = wire::parseReport(body);
+  if (!report) return done(wire::userError(400, "malformed report"));
+  auto host = dir_.hosts.find(report->host);
+  if (host == dir_.hosts.end()) {
+    if (dir_.leader && dir_.leader->record.owner == settings_.node)
+      fleet_.hostSeen(*report);
+    else if (dir_.leader)
+      peers_.send(dir_.leader->record.owner, mesh::HostSeen{body});
+    return unavailable("unknown machine");
+  }
+  auto share = host->second.record.share;
+  if (auto* s = scheduler(share)) {
+    auto a = s->checkIn(*report);
+    return done({a.status, std::move(a.body), false, 0});
+  }
+  const NodeId* owner = dir_.ownerOf(share);
+  if (!owner || *owner == settings_.node || !dir_.alive(*owner))
+    return unavailable("share is being taken over");
+  auto now = io_.now();
+  auto& steered = steered_[report->host];
+  if (steered.to != *owner || now - steered.at > kSteerAgain) {
+    steered = {*owner, now};
+    return done({421, wire::encodeOwner(*owner), true, 0});
+  }
+  // It was sent there and came back: the owner may be out of its reach, but not out of ours.
+  peers_.ask(*owner, mesh::CheckInAsk{0, body}, kRelay, [done = std::move(done)](const mesh::Answer* a) {
+    if (a && a->status == 200) return done({200, a->body, false, 0});
+    done(wire::userError(503, "the owner does not answer"));
+  });
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/node.h
@@ -0,0 +1,55 @@
+// One controller: its actors, and who hears what.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "actors/api.h"
+#include "actors/fleet.h"
+#include "actors/membership.h"
+#include "actors/peers.h"
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+
+class Node {
+ public:
+  Node(const Settings& settings, Io& io, Log log, std::uint64_t seed);
+  void start();
+  void request(HttpRequest r, Responder done);
+  void frame(const mesh::Frame& f) { peers_.frame(f); }
+  static bool fromWorker(const HttpRequest& r) { return r.target == "/checkin"; }
+
+ private:
+  void changed(const wire::KeyChange& c);
+  void received(std::uint32_t from, const mesh::Payload& p);
+  void taken(const Taken& t);
+  void lost(ShareNo k);
+  void jobEnded(const JobId& id, JobStatus s, Stamp stamp);
+  void sendLoad(const mesh::ShareLoad& l);
+  void giveUp(const mesh::GiveUp& g);
+  Scheduler* scheduler(ShareNo k);
+  void jobs(const HttpRequest& r, Responder done);
+  void checkIn(const std::string& body, Responder done);
+  void up(Responder done);
+  bool serving() const;
+
+  const Settings& settings_;
+  Io& io_;
+  Log log_;
+  std::mt19937_64 rng_;
+  Directory dir_;
+  StateStore store_;
+  Peers peers_;
+  Membership membership_;
+  Fleet fleet_;
+  Api api_;
+  std::map<ShareNo, std::unique_ptr<Scheduler>> schedulers_;
+  struct Steered {
+    NodeId to;
+    Time at;
+  };
+  std::map<HostId, Steered> steered_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/peers.cpp
@@ -0,0 +1,97 @@
+#include "actors/peers.h"
+
+namespace cherryloft {
+namespace {
+constexpr Duration kBeat{400};
+constexpr Duration kHeard{1'700};
+constexpr Duration kRemesh{2'500};
+}  // namespace
+
+Peers::Peers(const Settings& settings, Io& io, Outlet out)
+    : settings_(settings),
+      io_(io),
+      out_(std::move(out)),
+      self_(settings.homeShare(settings.node).value),
+      neighbours_(settings.size()) {
+  // Answers to asks of an earlier process must not match ours.
+  askCount_ = static_cast<std::uint64_t>(io.wall().value) << 20;
+}
+
+void Peers::start() { beat(); }
+
+bool Peers::hears(std::uint32_t n) const {
+  const auto& x = neighbours_[n];
+  return x.heard != Time{} && io_.now() - x.heard < kHeard;
+}
+
+bool Peers::someoneHasStore() const {
+  for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
+    if (n != self_ && hears(n) && neighbours_[n].pulse.store) return true;
+  return false;
+}
+
+void Peers::beat() {
+  io_.after(kBeat, [this] { beat(); });
+  auto now = io_.now();
+  auto pulse = out_.pulse();
+  pulse.hears = 0;
+  for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
+    if (n != self_ && hears(n)) pulse.hears |= 1u << n;
+  for (std::uint32_t n = 0; n < neighbours_.size(); ++n) {
+    if (n == self_) continue;
+    // What lies in a held connection would arrive late and in the way of what is new.
+    if (!hears(n) && now - neighbours_[n].remeshed > kRemesh) {
+      neighbours_[n].remeshed = now;
+      io_.remesh(n);
+    }
+    io_.mesh(n, {self_, n, pulse});
+  }
+}
+
+void Peers::send(std::uint32_t to, mesh::Payload p) {
+  mesh::Frame f{self_, to, std::move(p)};
+  if (!hears(to)) {
+    for (std::uint32_t via = 0; via < neighbours_.size(); ++via) {
+      if (via == self_ || via == to || !hears(via) || !(neighbours_[via].pulse.hears >> to & 1u)) continue;
+      return io_.mesh(via, f);
+    }
+  }
+  io_.mesh(to, f);
+}
+
+void Peers::send(const NodeId& to, mesh::Payload p) {
+  auto n = numberOf(to);
+  if (n < neighbours_.size() && n != self_) send(n, std::move(p));
+}
+
+std::uint64_t Peers::expect(Duration deadline, Answered done) {
+  auto id = ++askCount_;
+  asks_[id] = std::move(done);
+  io_.after(deadline, [this, id] {
+    auto it = asks_.find(id);
+    if (it == asks_.end()) return;
+    auto f = std::move(it->second);
+    asks_.erase(it);
+    f(nullptr);
+  });
+  return id;
+}
+
+void Peers::frame(const mesh::Frame& f) {
+  if (f.from >= neighbours_.size() || f.to >= neighbours_.size() || f.from == self_) return;
+  if (f.to != self_) return io_.mesh(f.to, f);  // the one hop; the next stop is the last
+  if (const auto* pulse = std::get_if<mesh::Pulse>(&f.payload)) {
+    neighbours_[f.from].heard = io_.now();
+    neighbours_[f.from].pulse = *pulse;
+  } else if (const auto* answer = std::get_if<mesh::Answer>(&f.payload)) {
+    auto it = asks_.find(answer->id);
+    if (it == asks_.end()) return;
+    auto done = std::move(it->second);
+    asks_.erase(it);
+    done(answer);
+  } else {
+    out_.received(f.from, f.payload);
+  }
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/peers.h
@@ -0,0 +1,56 @@
+// Peers: pulses between controllers, asks with deadlines, and one hop around a cut link.
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "actors/io.h"
+#include "config/settings.h"
+
+namespace cherryloft {
+
+class Peers {
+ public:
+  struct Outlet {
+    // Something that is neither a pulse nor an answer came, from that controller.
+    std::function<void(std::uint32_t from, const mesh::Payload&)> received;
+    std::function<mesh::Pulse()> pulse;  // what to say of ourselves; hears is filled in here
+  };
+  using Answered = std::function<void(const mesh::Answer*)>;  // null: none in time
+
+  Peers(const Settings& settings, Io& io, Outlet out);
+  void start();
+  void frame(const mesh::Frame& f);
+  void send(std::uint32_t to, mesh::Payload p);
+  void send(const NodeId& to, mesh::Payload p);
+  // The payload's id is set here.
+  template <class Ask>
+  void ask(const NodeId& to, Ask a, Duration deadline, Answered done) {
+    a.id = expect(deadline, std::move(done));
+    send(to, std::move(a));
+  }
+  bool hears(std::uint32_t n) const;
+  // Some sibling, heard of late, holds its hold.
+  bool someoneHasStore() const;
+  std::uint32_t self() const { return self_; }
+  std::uint32_t numberOf(const NodeId& n) const { return settings_.homeShare(n).value; }
+
+ private:
+  struct Neighbour {
+    Time heard{};
+    mesh::Pulse pulse;
+    Time remeshed{};
+  };
+  std::uint64_t expect(Duration deadline, Answered done);
+  void beat();
+
+  const Settings& settings_;
+  Io& io_;
+  Outlet out_;
+  std::uint32_t self_;
+  std::vector<Neighbour> neighbours_;
+  std::map<std::uint64_t, Answered> asks_;
+  std::uint64_t askCount_ = 0;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/store.h
@@ -0,0 +1,118 @@
+// StateStore: the only way to the state service. It keeps within this controller's part of the request
+// budget, urgent things first, groups small writes, and follows prefixes.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "actors/io.h"
+#include "config/settings.h"
+#include "log/log.h"
+#include "wire/store.h"
+
+namespace cherryloft {
+
+enum class Urgency : std::uint8_t { Hold, Control, Work, User, Count };
+
+struct TxnResult {
+  enum class Outcome : std::uint8_t {
+    Ok,
+    Conflict,  // not executed, failed names the keys
+    NoHold,    // not executed, the hold is gone
+    Refused,   // not executed
+    Unknown,   // may have been executed, or may be yet
+  };
+  Outcome outcome = Outcome::Unknown;
+  Stamp revision;
+  std::vector<std::string> failed;
+  bool ok() const { return outcome == Outcome::Ok; }
+};
+
+struct ListResult {
+  bool ok = false;
+  std::vector<wire::KeyChange> entries;
+  Stamp revision;  // of the first page
+};
+
+struct GetResult {
+  enum class Outcome : std::uint8_t { Found, Absent, Failed };
+  Outcome outcome = Outcome::Failed;
+  wire::KeyChange entry;
+};
+
+class StateStore {
+ public:
+  using Changed = std::function<void(const wire::KeyChange&)>;
+
+  StateStore(const Settings& settings, Io& io, Log log, std::uint64_t seed);
+
+  void txn(Urgency u, wire::Transaction t, Duration deadline, std::function<void(TxnResult)> done);
+  // Creates one key that must not exist yet, together with others that come in the meantime.
+  void create(wire::Write w, Duration deadline, std::function<void(TxnResult)> done);
+  void get(Urgency u, const std::string& key, Duration deadline, std::function<void(GetResult)> done);
+  void list(Urgency u, const std::string& prefix, std::function<void(ListResult)> done);
+
+  void openHold(Duration ttl, std::function<void(std::optional<std::uint64_t>)> done);
+  enum class Renewal : std::uint8_t { Good, Gone, NoAnswer };
+  void renewHold(std::uint64_t hold, Duration deadline, std::function<void(Renewal)> done);
+
+  // Mirrors a prefix for ever: changed is told every key at first and each change after that, in order.
+  void mirror(const std::string& prefix, Changed changed);
+  bool mirrored() const;  // every prefix was read once
+  // Calls done once the mirror of the prefix shows at least all that was committed before this call.
+  void catchUp(const std::string& prefix, std::function<void(bool)> done);
+  // The service is back after a silence: begin all watches anew.
+  void restartWatches();
+
+ private:
+  struct Queued {
+    HttpRequest request;
+    unsigned writes = 0;
+    Time giveUp;
+    HttpDone done;
+  };
+  struct Mirror {
+    std::string prefix;
+    Changed changed;
+    std::map<std::string, Stamp> known;
+    Stamp revision;
+    bool read = false;
+    std::uint64_t round = 0;  // answers of earlier rounds are stale
+    Duration backoff{0};
+  };
+  struct Creation {
+    wire::Write write;
+    Time giveUp;
+    std::function<void(TxnResult)> done;
+  };
+
+  void enqueue(Urgency u, HttpRequest r, unsigned writes, Duration deadline, HttpDone done);
+  void pump();
+  void refill();
+  void listFrom(Urgency u, std::string prefix, std::string since, std::shared_ptr<ListResult> sofar,
+                std::function<void(ListResult)> done);
+  void readAll(Mirror& m);
+  void follow(Mirror& m);
+  void followed(Mirror& m, const HttpResult& r);
+  void apply(Mirror& m, const wire::KeyPage& news);
+  void retry(Mirror& m);
+  void createBatch();
+
+  const Settings& settings_;
+  Io& io_;
+  Log log_;
+  std::mt19937_64 rng_;
+  std::array<std::deque<Queued>, static_cast<std::size_t>(Urgency::Count)> queues_;
+  double requests_ = 0, writes_ = 0;
+  Time refilled_;
+  Time pausedUntil_{};
+  bool pumpSet_ = false;
+  std::vector<std::unique_ptr<Mirror>> mirrors_;
+  std::deque<Creation> creations_;
+  bool creating_ = false;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/base/job.h
@@ -0,0 +1,85 @@
+// What a job is, free of any wire names.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+
+namespace cherryloft {
+
+enum class Rank : std::uint8_t { BestEffort, Normal, High, Production };
+enum class Shape : std::uint8_t { Array, Service };
+enum class JobStatus : std::uint8_t { Open, Done, Aborted };
+
+struct Resources {
+  double cores = 0;
+  double gpus = 0;
+  double ram = 0;
+
+  Resources& operator+=(const Resources& o) {
+    cores += o.cores, gpus += o.gpus, ram += o.ram;
+    return *this;
+  }
+  Resources& operator-=(const Resources& o) {
+    cores -= o.cores, gpus -= o.gpus, ram -= o.ram;
+    return *this;
+  }
+  friend Resources operator+(Resources a, const Resources& b) { return a += b; }
+  friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
+  friend Resources operator*(Resources a, double n) { return {a.cores * n, a.gpus * n, a.ram * n}; }
+  // A hair of slack, as sums of decimal numbers are not exact.
+  bool fitsIn(const Resources& o) const {
+    constexpr double eps = 1e-6;
+    return cores <= o.cores + eps && gpus <= o.gpus + eps && ram <= o.ram + eps;
+  }
+};
+
+struct JobSpec {
+  JobId id;
+  std::string jobClass;
+  TeamId team;
+  Shape shape = Shape::Array;
+  Rank rank = Rank::Normal;
+  std::uint32_t tasks = 1;
+  Resources each;
+  std::optional<std::vector<std::string>> types;
+  std::optional<Zone> zone;
+  bool oneZone = false;
+  bool spread = false;
+  bool lendable = false;
+  ImageId image;
+  double imageGb = 0;
+  double expectS = 0;
+  double snapshotEveryS = 0;
+  double snapshotS = 0;
+  std::optional<double> dueS;
+
+  bool allowsType(const std::string& type) const {
+    if (!types) return true;
+    for (const auto& t : *types)
+      if (t == type) return true;
+    return false;
+  }
+};
+
+struct MachineType {
+  std::string name;
+  Resources size;
+  double cacheGb = 0;
+  double fetchGbPerS = 0;
+  double price = 0;
+  double spotPrice = 0;
+  double bootS = 0;
+  std::vector<Zone> zones;
+};
+using Catalog = std::vector<MachineType>;
+
+inline const MachineType* findType(const Catalog& catalog, const std::string& name) {
+  for (const auto& t : catalog)
+    if (t.name == name) return &t;
+  return nullptr;
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/base/types.h
@@ -0,0 +1,70 @@
+// Small types of their own for ids, versions and times.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace cherryloft {
+
+template <class Tag, class T>
+struct Strong {
+  T value{};
+  friend auto operator<=>(const Strong&, const Strong&) = default;
+  friend bool operator==(const Strong&, const Strong&) = default;
+};
+
+using JobId = Strong<struct JobTag, std::string>;
+using HostId = Strong<struct HostTag, std::string>;
+using TeamId = Strong<struct TeamTag, std::string>;
+using NodeId = Strong<struct NodeTag, std::string>;
+using Zone = Strong<struct ZoneTag, std::string>;
+using ImageId = Strong<struct ImageTag, std::string>;
+
+using Attempt = Strong<struct AttemptTag, std::uint64_t>;
+using Epoch = Strong<struct EpochTag, std::uint64_t>;
+// What workers compare: an epoch in the high bits, the owner's own count of raises in the low ones.
+using Token = Strong<struct TokenTag, std::uint64_t>;
+using Stamp = Strong<struct StampTag, std::uint64_t>;
+using Tenure = Strong<struct TenureTag, std::uint64_t>;
+using Serial = Strong<struct SerialTag, std::uint64_t>;
+using ShareNo = Strong<struct ShareTag, std::uint32_t>;
+
+inline constexpr unsigned kRaiseBits = 20;
+inline Token tokenOf(Epoch epoch, std::uint64_t raises = 0) {
+  return Token{(epoch.value << kRaiseBits) + raises};
+}
+// Attempts are unique for ever, as the epoch they carry was drawn once.
+inline Attempt attemptOf(Epoch epoch, std::uint64_t count) { return Attempt{(epoch.value << 24) + count}; }
+
+struct TaskId {
+  JobId job;
+  std::uint32_t index = 0;
+  friend auto operator<=>(const TaskId&, const TaskId&) = default;
+  friend bool operator==(const TaskId&, const TaskId&) = default;
+};
+
+// Steady time of this controller.
+struct SteadyTag {
+  using rep = std::int64_t;
+  using period = std::milli;
+  using duration = std::chrono::milliseconds;
+  using time_point = std::chrono::time_point<SteadyTag>;
+  static constexpr bool is_steady = true;
+};
+using Duration = SteadyTag::duration;
+using Time = SteadyTag::time_point;
+// Time of day in milliseconds, good to the bound in the settings.
+using WallTime = Strong<struct WallTag, std::int64_t>;
+
+inline Duration seconds(double s) { return Duration{static_cast<std::int64_t>(s * 1000.0)}; }
+inline double inSeconds(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
+
+}  // namespace cherryloft
+
+template <class Tag, class T>
+struct std::hash<cherryloft::Strong<Tag, T>> {
+  std::size_t operator()(const cherryloft::Strong<Tag, T>& id) const { return std::hash<T>{}(id.value); }
+};
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,142 @@
+#include "config/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace cherryloft {
+namespace {
+
+using nlohmann::json;
+
+const json& need(const json& object, const char* name, json::value_t type, const char* what) {
+  if (!object.is_object() || !object.contains(name))
+    throw SettingsError(std::string("settings: field '") + name + "' is missing");
+  const json& v = object.at(name);
+  bool ok = type == json::value_t::number_float ? v.is_number() : v.type() == type;
+  if (!ok) throw SettingsError(std::string("settings: field '") + name + "' is not " + what);
+  return v;
+}
+
+std::string text(const json& o, const char* name) {
+  auto s = need(o, name, json::value_t::string, "a string").get<std::string>();
+  if (s.empty()) throw SettingsError(std::string("settings: field '") + name + "' is empty");
+  return s;
+}
+double number(const json& o, const char* name, double low, double high) {
+  double v = need(o, name, json::value_t::number_float, "a number").get<double>();
+  if (!(v >= low && v <= high))
+    throw SettingsError(std::string("settings: field '") + name + "' is out of range");
+  return v;
+}
+const json& object(const json& o, const char* name) {
+  return need(o, name, json::value_t::object, "an object");
+}
+const json& list(const json& o, const char* name) { return need(o, name, json::value_t::array, "a list"); }
+
+}  // namespace
+
+Address parseAddress(const std::string& textual) {
+  auto colon = textual.rfind(':');
+  Address a;
+  unsigned port = 0, parts = 0;
+  bool ok = colon != std::string::npos;
+  if (ok) {
+    a.ip = textual.substr(0, colon);
+    const char* end = textual.data() + textual.size();
+    auto [p, ec] = std::from_chars(textual.data() + colon + 1, end, port);
+    ok = ec == std::errc{} && p == end && port > 0 && port < 65536;
+  }
+  std::istringstream in(a.ip);
+  for (std::string part; ok && std::getline(in, part, '.'); ++parts) {
+    unsigned v = 0;
+    auto [p, ec] = std::from_chars(part.data(), part.data() + part.size(), v);
+    ok = ec == std::errc{} && p == part.data() + part.size() && v < 256;
+  }
+  if (!ok || parts != 4) throw SettingsError("'" + textual + "' is not an IPv4 address with a port");
+  a.port = static_cast<std::uint16_t>(port);
+  return a;
+}
+
+Duration Settings::grace() const {
+  // TTL + grace + lease + margin must stay within cancel_s (invariant 6); half a percent covers all drift.
+  Duration margin = seconds(3.0 + 0.005 * cancelS);
+  return std::max(Duration{0}, seconds(cancelS - leaseS) - tuning.holdTtl - margin);
+}
+
+const Team* Settings::team(const TeamId& name) const {
+  auto it = std::lower_bound(teams.begin(), teams.end(), name,
+                             [](const Team& t, const TeamId& n) { return t.name < n; });
+  return it != teams.end() && it->name == name ? &*it : nullptr;
+}
+
+ShareNo Settings::shareOfTeam(const TeamId& name) const {
+  const Team* t = team(name);
+  return ShareNo{t ? static_cast<std::uint32_t>(t - teams.data()) % size() : 0};
+}
+
+ShareNo Settings::homeShare(const NodeId& name) const {
+  return ShareNo{static_cast<std::uint32_t>(std::find(nodes.begin(), nodes.end(), name) - nodes.begin())};
+}
+
+Settings parseSettings(const std::string& source, const Tuning& tuning) {
+  json doc = json::parse(source, nullptr, false);
+  if (doc.is_discarded()) throw SettingsError("settings: not JSON");
+  if (!doc.is_object()) throw SettingsError("settings: not an object");
+  Settings s;
+  s.tuning = tuning;
+  s.node = NodeId{text(doc, "node")};
+  s.front = parseAddress(text(doc, "front"));
+  s.mesh = parseAddress(text(doc, "mesh_addr"));
+  s.nodes.push_back(s.node);
+  for (const auto& e : list(doc, "siblings")) {
+    s.siblings.push_back({NodeId{text(e, "node")}, parseAddress(text(e, "address"))});
+    s.nodes.push_back(s.siblings.back().node);
+  }
+  std::sort(s.nodes.begin(), s.nodes.end());
+  if (std::adjacent_find(s.nodes.begin(), s.nodes.end()) != s.nodes.end())
+    throw SettingsError("settings: two controllers have the same name");
+  if (s.nodes.size() > 32) throw SettingsError("settings: more than 32 controllers");
+  const auto& ends = object(doc, "endpoints");
+  s.cloud = parseAddress(text(ends, "cloud"));
+  s.state = parseAddress(text(ends, "state"));
+  const auto& d = object(doc, "deployment");
+  for (const auto& z : list(d, "zones")) {
+    if (!z.is_string()) throw SettingsError("settings: a zone is not a string");
+    s.zones.push_back(Zone{z.get<std::string>()});
+  }
+  constexpr double big = 1e9;
+  for (const auto& t : list(d, "teams"))
+    s.teams.push_back({TeamId{text(t, "name")}, number(t, "cpus", 0, big), number(t, "cpus_max", 0, big),
+                       number(t, "gpus", 0, big), number(t, "gpus_max", 0, big)});
+  std::sort(s.teams.begin(), s.teams.end(), [](const Team& a, const Team& b) { return a.name < b.name; });
+  const auto& w = object(d, "workers");
+  s.reportS = number(w, "report_s", 0.001, 3600);
+  s.leaseS = number(w, "lease_s", 0.001, 86400);
+  s.cancelS = number(w, "cancel_s", s.leaseS, 86400);
+  const auto& st = object(d, "state");
+  s.stateRps = number(st, "rps", 1, big);
+  s.stateWriteRps = number(st, "write_rps", 1, big);
+  s.valueBytes = static_cast<std::size_t>(number(st, "value_kb", 1, 1024) * 1024);
+  s.txnOps = static_cast<unsigned>(number(st, "txn_ops", 4, 10000));
+  const auto& c = object(d, "cloud");
+  s.cloudRps = number(c, "rps", 0.01, big);
+  s.listLagS = number(c, "list_lag_s", 0, 3600);
+  s.fdLimit = static_cast<unsigned>(number(object(d, "machine_limits"), "fd_limit", 32, 1e6));
+  s.clockErrorMs = number(d, "clock_error_ms", 0, 1e6);
+  if (tuning.holdTtl < Duration{500} || s.grace() == Duration{0})
+    throw SettingsError("the hold's TTL leaves no room between lease_s and cancel_s");
+  return s;
+}
+
+Settings readSettings(const std::string& path, const Tuning& tuning) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw SettingsError("cannot read settings file '" + path + "'");
+  std::ostringstream all;
+  all << in.rdbuf();
+  return parseSettings(all.str(), tuning);
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,77 @@
+// The platform's settings file, checked, and what the operators' own flags and variables add.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+
+namespace cherryloft {
+
+struct SettingsError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Address {
+  std::string ip;
+  std::uint16_t port = 0;
+  friend bool operator==(const Address&, const Address&) = default;
+  friend auto operator<=>(const Address&, const Address&) = default;
+  std::string text() const { return ip + ":" + std::to_string(port); }
+};
+// Throws SettingsError when the text is no IPv4 address with a port.
+Address parseAddress(const std::string& text);
+
+struct Sibling {
+  NodeId node;
+  Address address;
+};
+
+struct Team {
+  TeamId name;
+  double cores = 0, coresMax = 0, gpus = 0, gpusMax = 0;
+};
+
+// Values the operators may set; the defaults are what OPERATING.md lists.
+struct Tuning {
+  Duration holdTtl{3000};
+  Duration handBackAfter{8000};
+  Duration moveEvery{30000};
+  unsigned sample = 64;      // K
+  double spareShare = 0.25;  // room kept free above what is asked for, as a share of it
+  std::uint64_t seed = 0;    // 0: from the node's name and the time of day
+};
+
+struct Settings {
+  NodeId node;
+  Address front;
+  Address mesh;
+  std::vector<Sibling> siblings;
+  Address cloud;
+  Address state;
+  std::vector<Zone> zones;
+  std::vector<Team> teams;  // sorted by name
+  double reportS = 3, leaseS = 45, cancelS = 75;
+  double stateRps = 100, stateWriteRps = 50;
+  std::size_t valueBytes = 4096;
+  unsigned txnOps = 12;
+  double cloudRps = 5, listLagS = 5;
+  unsigned fdLimit = 1024;
+  double clockErrorMs = 250;
+  Tuning tuning;
+
+  std::vector<NodeId> nodes;  // all controllers, sorted; the index is the number of the home share
+
+  unsigned size() const { return static_cast<unsigned>(nodes.size()); }
+  // How long after its hold ran out a controller goes on answering check-ins (invariant 6).
+  Duration grace() const;
+  ShareNo shareOfTeam(const TeamId& team) const;
+  const Team* team(const TeamId& name) const;
+  ShareNo homeShare(const NodeId& name) const;
+};
+
+Settings parseSettings(const std::string& json, const Tuning& tuning);
+Settings readSettings(const std::string& path, const Tuning& tuning);
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,69 @@
+#include "daemon/daemon.h"
+
+#include <cerrno>
+#include <cstring>
+
+#include "actors/node.h"
+#include "mesh/transport.h"
+#include "net/server.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr std::size_t kIdlePerAddress = 6;
+
+class LoopIo : public Io {
+ public:
+  LoopIo(Loop& loop, HttpClient& client) : loop_(loop), client_(client) {}
+  void attach(mesh::Transport* t) { transport_ = t; }
+  Time now() const override { return loop_.now(); }
+  WallTime wall() const override { return loop_.wall(); }
+  void after(Duration d, std::function<void()> f) override { loop_.after(d, std::move(f)); }
+  void call(const Address& to, HttpRequest r, Duration deadline, HttpDone done) override {
+    client_.call(to, std::move(r), deadline, std::move(done));
+  }
+  void mesh(std::uint32_t to, const mesh::Frame& f) override { transport_->send(to, f); }
+  void remesh(std::uint32_t to) override { transport_->reset(to); }
+
+ private:
+  Loop& loop_;
+  HttpClient& client_;
+  mesh::Transport* transport_ = nullptr;
+};
+
+int listening(const Address& at) {
+  int fd = listenOn(at);
+  if (fd < 0) throw SettingsError("cannot listen on " + at.text() + ": " + std::strerror(errno));
+  return fd;
+}
+
+}  // namespace
+
+int runDaemon(const Settings& settings, Log log) {
+  Loop loop;
+  // Of the sockets allowed, some are kept for siblings, the store, the cloud and commands to workers.
+  std::size_t reserve = std::min<std::size_t>(settings.fdLimit / 4, 400) + 16;
+  HttpClient client(loop, kIdlePerAddress, reserve / 2);
+  LoopIo io(loop, client);
+  std::vector<Address> addresses(settings.size());
+  for (const auto& s : settings.siblings) addresses[settings.homeShare(s.node).value] = s.address;
+  auto seed = settings.tuning.seed;
+  if (seed == 0)
+    seed = std::hash<std::string>{}(settings.node.value) ^ static_cast<std::uint64_t>(loop.wall().value);
+  Node node(settings, io, log, seed);
+  int front = listening(settings.front);
+  mesh::Transport transport(loop, listening(settings.mesh), addresses,
+                            settings.homeShare(settings.node).value,
+                            [&node](const mesh::Frame& f) { node.frame(f); });
+  io.attach(&transport);
+  HttpServer server(
+      loop, log, front, settings.fdLimit - reserve,
+      [&node](HttpRequest r, Responder done) { node.request(std::move(r), std::move(done)); },
+      &Node::fromWorker);
+  node.start();
+  log->info("serving on {}", settings.front.text());
+  loop.run();
+  return 0;
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/mesh/messages.h
@@ -0,0 +1,138 @@
+// What controllers say to each other, in cereal's portable form.
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cherryloft::mesh {
+
+// Sent to every sibling at a steady beat.
+struct Pulse {
+  std::uint32_t hears = 0;  // bit per controller heard directly
+  bool store = false;       // its hold is valid
+  bool serving = false;     // it has loaded what it needs
+  template <class A>
+  void serialize(A& a) {
+    a(hears, store, serving);
+  }
+};
+
+// A user's question about a job, to the owner of its share.
+struct JobAsk {
+  std::uint64_t id = 0;
+  bool withdraw = false;
+  std::string job;
+  template <class A>
+  void serialize(A& a) {
+    a(id, withdraw, job);
+  }
+};
+
+// A worker's check-in, relayed to the owner of its share; the body is passed on as it came.
+struct CheckInAsk {
+  std::uint64_t id = 0;
+  std::string body;
+  template <class A>
+  void serialize(A& a) {
+    a(id, body);
+  }
+};
+
+// The reply to either ask.
+struct Answer {
+  std::uint64_t id = 0;
+  std::int32_t status = 0;
+  std::string body;
+  template <class A>
+  void serialize(A& a) {
+    a(id, status, body);
+  }
+};
+
+// To the leader: a machine that no record names has reported.
+struct HostSeen {
+  std::string body;
+  template <class A>
+  void serialize(A& a) {
+    a(body);
+  }
+};
+
+struct HostLoad {
+  std::string host;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  double freeCores = 0;
+  double idleS = 0;  // how long nothing has been on it
+  bool usable = false;
+  bool draining = false;
+  template <class A>
+  void serialize(A& a) {
+    a(host, type, zone, spot, freeCores, idleS, usable, draining);
+  }
+};
+
+// Work of one kind in a share; cores unless said otherwise.
+struct Demand {
+  double used = 0;
+  double waiting = 0;  // within the teams' limits
+  double waitingGuaranteed = 0;
+  double arriving = 0;  // cores asked for per second of late
+  double largestTask = 0;
+  double ramPerCore = 0;
+  std::vector<std::string> types;  // empty: any
+  template <class A>
+  void serialize(A& a) {
+    a(used, waiting, waitingGuaranteed, arriving, largestTask, ramPerCore, types);
+  }
+};
+
+// From a share's owner to the leader, at a steady beat.
+struct ShareLoad {
+  std::uint32_t share = 0;
+  std::uint64_t epoch = 0;
+  Demand firm;      // work that may use ordinary machines only
+  Demand lendable;  // work that may use spot machines too
+  std::vector<HostLoad> hosts;
+  template <class A>
+  void serialize(A& a) {
+    a(share, epoch, firm, lendable, hosts);
+  }
+};
+
+// From the leader to a share's owner: give this machine up, to another share or back to the cloud.
+struct GiveUp {
+  std::uint32_t share = 0;
+  std::string host;
+  std::int32_t toShare = -1;  // -1: back to the cloud
+  bool drain = false;         // stop what runs on it
+  template <class A>
+  void serialize(A& a) {
+    a(share, host, toShare, drain);
+  }
+};
+
+using Payload = std::variant<Pulse, JobAsk, CheckInAsk, Answer, HostSeen, ShareLoad, GiveUp>;
+
+struct Frame {
+  std::uint32_t from = 0;
+  std::uint32_t to = 0;
+  Payload payload;
+  template <class A>
+  void serialize(A& a) {
+    a(from, to, payload);
+  }
+};
+
+std::string encode(const Frame& f);
+// Nothing when the bytes are no frame.
+std::optional<Frame> decode(const std::string& bytes);
+
+}  // namespace cherryloft::mesh
--- /dev/null
+++ b/src/net/client.h
@@ -0,0 +1,56 @@
+// HTTP client: a pool of kept connections per address, every call with a deadline.
+#pragma once
+
+#include <list>
+#include <map>
+
+#include "net/http.h"
+#include "net/tcp.h"
+
+namespace cherryloft {
+
+struct HttpResult {
+  enum class Outcome {
+    Answered,  // response holds the answer
+    NotSent,   // never left: the connection did not come about
+    Unknown,   // it may have been carried out, or may still be
+  };
+  Outcome outcome = Outcome::Unknown;
+  HttpResponse response;
+  bool answered(int status) const { return outcome == Outcome::Answered && response.status == status; }
+};
+using HttpDone = std::function<void(HttpResult)>;
+
+class HttpClient {
+ public:
+  HttpClient(Loop& loop, std::size_t maxIdlePerAddress, std::size_t maxIdle)
+      : loop_(loop), maxIdlePerAddress_(maxIdlePerAddress), maxIdle_(maxIdle) {}
+  ~HttpClient();
+  void call(const Address& to, HttpRequest request, Duration deadline, HttpDone done);
+  std::size_t openSockets() const { return idle_.size() + calls_.size(); }
+
+ private:
+  struct Kept {
+    Address to;
+    std::shared_ptr<Stream> stream;
+  };
+  struct Call {
+    Address to;
+    std::shared_ptr<Stream> stream;
+    HttpParser parser{HttpParser::Kind::Response, 16 * 1024 * 1024};
+    HttpDone done;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  std::shared_ptr<Stream> takeIdle(const Address& to);
+  void received(const CallPtr& call, std::string_view bytes);
+  void settle(const CallPtr& call, HttpResult result);
+  void keep(const Address& to, std::shared_ptr<Stream> stream);
+
+  Loop& loop_;
+  std::size_t maxIdlePerAddress_, maxIdle_;
+  std::list<Kept> idle_;  // longest idle first
+  std::map<Call*, CallPtr> calls_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,64 @@
+// The libev loop: steady time, one-shot timers and watched descriptors.
+#pragma once
+
+#include <ev.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "base/types.h"
+
+namespace cherryloft {
+
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  Time now() const;
+  WallTime wall() const;
+  void after(Duration d, std::function<void()> f);
+  void run();
+  void stop();
+  struct ev_loop* raw() {
+    return loop_;
+  }
+
+ private:
+  static void fired(struct ev_loop*, ev_timer* w, int);
+  void arm();
+  void runDue();
+
+  struct ev_loop* loop_;
+  ev_timer timer_;
+  std::multimap<Time, std::function<void()>> due_;
+};
+
+// A non-blocking socket with its watcher; closes with its owner.
+class Socket {
+ public:
+  // The owner's reaction to readiness: EV_READ, EV_WRITE or both.
+  using Ready = std::function<void(int events)>;
+
+  Socket(Loop& loop, int fd, Ready ready);
+  ~Socket();
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+
+  int fd() const { return fd_; }
+  void watch(int events);
+
+ private:
+  static void fired(struct ev_loop*, ev_io* w, int events);
+
+  Loop& loop_;
+  int fd_;
+  int events_ = 0;
+  Ready ready_;
+  ev_io io_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/policy/fleet.cpp
@@ -0,0 +1,108 @@
+#include "policy/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace cherryloft::policy {
+namespace {
+
+struct Capacity {
+  double ordinary = 0, spot = 0;
+};
+
+Capacity capacityOf(const ShareFleet& f) {
+  Capacity c;
+  for (const auto& h : f.hosts)
+    if (h.counts) (h.spot ? c.spot : c.ordinary) += h.cores;
+  return c;
+}
+
+// Cores of a machine that such work can fill before its memory is full.
+double usableCores(const MachineType& t, const Work& w) {
+  if (w.largestTask > t.size.cores + 1e-9 || w.largestTask * w.ramPerCore > t.size.ram + 1e-9) return 0;
+  return w.ramPerCore > 0 ? std::min(t.size.cores, t.size.ram / w.ramPerCore) : t.size.cores;
+}
+
+bool listed(const Work& w, const std::string& type) {
+  return w.types.empty() || std::find(w.types.begin(), w.types.end(), type) != w.types.end();
+}
+
+std::optional<Wish> cheapest(const ShareFleet& f, const Work& w, double missing, bool spot,
+                             const Catalog& catalog, const std::set<Offer>& unavailable) {
+  std::map<Zone, int> inZone;
+  for (const auto& h : f.hosts) ++inZone[h.zone];
+  std::optional<Wish> best;
+  double bestCost = 0;
+  int bestZone = 0;
+  for (const auto& t : catalog) {
+    double usable = listed(w, t.name) ? usableCores(t, w) : 0;
+    if (usable <= 0) continue;
+    double price = spot ? t.spotPrice : t.price;
+    // A machine larger than what is missing is worth its rest only in part.
+    double worth = std::min(usable, missing) + 0.5 * std::max(0.0, usable - missing);
+    double cost = price / worth;
+    for (const auto& z : t.zones) {
+      Offer o{t.name, z, spot};
+      if (unavailable.count(o) > 0) continue;
+      bool better = !best || cost < bestCost - 1e-12 || (cost < bestCost + 1e-12 && inZone[z] < bestZone);
+      if (!better) continue;
+      auto count = static_cast<unsigned>(std::clamp(std::floor(missing / usable), 1.0, 4.0));
+      best = Wish{o, count, usable * count};
+      bestCost = cost;
+      bestZone = inZone[z];
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+Targets targets(const ShareFleet& f, double bootS, double spareShare) {
+  auto want = [&](const Work& w) {
+    double need = w.used + w.waiting;
+    double coming = w.arriving * bootS;
+    return need + std::max(coming, need * spareShare) + w.largestTask;
+  };
+  Targets t;
+  t.ordinary = f.firm.used + f.firm.waiting + f.firm.largestTask + f.firm.arriving * bootS;
+  t.total = want(f.firm) + want(f.lendable);
+  return t;
+}
+
+std::optional<Wish> rent(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                         const std::set<Offer>& unavailable) {
+  auto have = capacityOf(f);
+  constexpr double enough = 0.5;  // cores
+  if (t.ordinary - have.ordinary > enough) {
+    auto w = cheapest(f, f.firm, t.ordinary - have.ordinary, false, catalog, unavailable);
+    if (w) return w;
+  }
+  double missing = t.total - have.ordinary - have.spot;
+  if (missing <= enough) return std::nullopt;
+  const auto& kind = f.lendable.used + f.lendable.waiting + f.lendable.arriving > 0 ? f.lendable : f.firm;
+  if (&kind == &f.lendable)
+    if (auto w = cheapest(f, kind, missing, true, catalog, unavailable)) return w;
+  return cheapest(f, kind, missing, false, catalog, unavailable);
+}
+
+std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                 double minIdleS) {
+  auto have = capacityOf(f);
+  std::optional<std::size_t> best;
+  double bestPrice = 0;
+  for (std::size_t i = 0; i < f.hosts.size(); ++i) {
+    const auto& h = f.hosts[i];
+    if (!h.counts || h.idleS < minIdleS) continue;
+    if (have.ordinary + have.spot - h.cores < t.total) continue;
+    if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
+    const auto* type = findType(catalog, h.type);
+    double price = type && h.cores > 0 ? (h.spot ? type->spotPrice : type->price) / h.cores : 0;
+    if (best && price <= bestPrice) continue;
+    best = i;
+    bestPrice = price;
+  }
+  return best;
+}
+
+}  // namespace cherryloft::policy
--- /dev/null
+++ b/src/policy/fleet.h
@@ -0,0 +1,61 @@
+// Sizing the fleet of one share: what to rent, which idle machine to let go.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/job.h"
+
+namespace cherryloft::policy {
+
+struct Work {
+  double used = 0, waiting = 0;  // cores
+  double arriving = 0;           // cores per second of late
+  double largestTask = 0;
+  double ramPerCore = 0;
+  std::vector<std::string> types;  // empty: any
+};
+
+struct FleetHost {
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  double cores = 0;
+  bool counts = false;  // in use or about to be
+  double idleS = -1;    // negative: busy or not up
+};
+
+struct ShareFleet {
+  Work firm, lendable;
+  std::vector<FleetHost> hosts;
+};
+
+struct Targets {
+  double ordinary = 0;  // cores of ordinary machines at least
+  double total = 0;     // cores in all
+};
+// Room for what is there, for what comes while a machine boots, and for one more task of each kind.
+Targets targets(const ShareFleet& f, double bootS, double spareShare);
+
+struct Offer {
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  friend auto operator<=>(const Offer&, const Offer&) = default;
+};
+struct Wish {
+  Offer offer;
+  unsigned count = 1;
+  double cores = 0;
+};
+// The next rental, or nothing when the targets are met or nothing fitting is on offer.
+std::optional<Wish> rent(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                         const std::set<Offer>& unavailable);
+
+// Index of an idle machine that may go, the dearest first; nothing if all are needed.
+std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                 double minIdleS);
+
+}  // namespace cherryloft::policy
--- /dev/null
+++ b/src/wire/json.h
@@ -0,0 +1,25 @@
+// Reading JSON from outside parties without ever throwing past the codec.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace cherryloft::wire {
+
+using Json = nlohmann::json;
+
+// Nothing when the text is not JSON, or nested beyond reason.
+std::optional<Json> parse(const std::string& text);
+
+// Members by name; nothing when absent, null or of another kind.
+std::optional<std::string> textAt(const Json& o, const char* name);
+std::optional<double> numberAt(const Json& o, const char* name);
+std::optional<std::uint64_t> countAt(const Json& o, const char* name);
+std::optional<bool> flagAt(const Json& o, const char* name);
+// The list by that name, or an empty one.
+const Json& listAt(const Json& o, const char* name);
+
+std::string dump(const Json& j);
+
+}  // namespace cherryloft::wire
--- /dev/null
+++ b/src/wire/store.cpp
@@ -0,0 +1,261 @@
+#include "wire/store.h"
+
+#include "wire/json.h"
+
+namespace cherryloft::wire {
+
+std::string encodeTransaction(const Transaction& t) {
+  // Values are JSON text already: the document is put together by hand so that they are not parsed again.
+  std::string out = "{\"when\":[";
+  bool first = true;
+  for (const auto& [key, stamp] : t.when) {
+    if (!first) out += ',';
+    first = false;
+    out += "{\"path\":" + dump(Json(key)) + ",\"stamp\":" + std::to_string(stamp.value) + "}";
+  }
+  out += ']';
+  if (!t.apply.empty()) {
+    out += ",\"apply\":[";
+    first = true;
+    for (const auto& w : t.apply) {
+      if (!first) out += ',';
+      first = false;
+      if (w.value) {
+        out += "{\"write\":" + dump(Json(w.key)) + ",\"value\":" + *w.value;
+        if (w.hold) out += ",\"tenancy\":" + std::to_string(*w.hold);
+        out += '}';
+      } else {
+        out += "{\"drop\":" + dump(Json(w.key)) + "}";
+      }
+    }
+    out += ']';
+  }
+  return out + "}";
+}
+
+std::size_t weightOf(const Write& w) { return 2 * w.key.size() + (w.value ? w.value->size() : 0) + 120; }
+
+std::optional<Stamp> parseRevision(const std::string& body) {
+  auto doc = parse(body);
+  auto rev = doc ? countAt(*doc, "ledger_rev") : std::nullopt;
+  if (!rev) return std::nullopt;
+  return Stamp{*rev};
+}
+
+std::optional<KeyPage> parseEntries(const std::string& body) {
+  auto doc = parse(body);
+  auto rev = doc ? countAt(*doc, "ledger_rev") : std::nullopt;
+  if (!rev) return std::nullopt;
+  KeyPage page{{}, flagAt(*doc, "truncated").value_or(false), Stamp{*rev}};
+  for (const auto& e : listAt(*doc, "entries")) {
+    auto key = textAt(e, "path");
+    auto stamp = countAt(e, "stamp");
+    if (!key || !stamp || !e.contains("value")) return std::nullopt;
+    page.entries.push_back({*key, dump(e.at("value")), Stamp{*stamp}});
+  }
+  return page;
+}
+
+std::optional<KeyPage> parseNews(const std::string& body) {
+  auto doc = parse(body);
+  auto rev = doc ? countAt(*doc, "ledger_rev") : std::nullopt;
+  if (!rev) return std::nullopt;
+  KeyPage page{{}, false, Stamp{*rev}};
+  for (const auto& e : listAt(*doc, "news")) {
+    auto stamp = countAt(e, "stamp");
+    auto write = textAt(e, "write");
+    auto drop = textAt(e, "drop");
+    if (!stamp || (!write && !drop) || (write && !e.contains("value"))) return std::nullopt;
+    if (write)
+      page.entries.push_back({*write, dump(e.at("value")), Stamp{*stamp}});
+    else
+      page.entries.push_back({*drop, std::nullopt, Stamp{*stamp}});
+  }
+  return page;
+}
+
+std::optional<KeyChange> parseKey(const std::string& body) {
+  auto doc = parse(body);
+  if (!doc) return std::nullopt;
+  auto key = textAt(*doc, "path");
+  auto stamp = countAt(*doc, "stamp");
+  if (!key || !stamp || !doc->contains("value")) return std::nullopt;
+  return KeyChange{*key, dump(doc->at("value")), Stamp{*stamp}};
+}
+
+std::vector<std::string> parseFailed(const std::string& body) {
+  std::vector<std::string> out;
+  if (auto doc = parse(body))
+    for (const auto& k : listAt(*doc, "failed"))
+      if (k.is_string()) out.push_back(k.get<std::string>());
+  return out;
+}
+
+std::optional<std::uint64_t> parseHold(const std::string& body) {
+  auto doc = parse(body);
+  return doc ? countAt(*doc, "tenancy") : std::nullopt;
+}
+
+std::string encodeJobRecord(const JobRecord& r) {
+  Json j{{"st", static_cast<int>(r.status)}, {"sh", r.share.value}, {"n", r.tasks}};
+  if (r.spec) {
+    const auto& s = *r.spec;
+    j["ch"] = r.chunk;
+    j["at"] = r.submitted.value;
+    Json spec{{"class", s.jobClass},
+              {"team", s.team.value},
+              {"service", s.shape == Shape::Service},
+              {"rank", static_cast<int>(s.rank)},
+              {"each", {s.each.cores, s.each.gpus, s.each.ram}},
+              {"image", s.image.value},
+              {"gb", s.imageGb},
+              {"onezone", s.oneZone},
+              {"spread", s.spread},
+              {"lend", s.lendable},
+              {"expect", s.expectS},
+              {"every", s.snapshotEveryS},
+              {"save", s.snapshotS}};
+    if (s.types) spec["types"] = *s.types;
+    if (s.zone) spec["zone"] = s.zone->value;
+    if (s.dueS) spec["due"] = *s.dueS;
+    j["spec"] = std::move(spec);
+  }
+  return dump(j);
+}
+
+std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value) {
+  auto doc = parse(value);
+  if (!doc) return std::nullopt;
+  auto status = countAt(*doc, "st");
+  auto share = countAt(*doc, "sh");
+  auto tasks = countAt(*doc, "n");
+  if (!status || *status > 2 || !share || !tasks) return std::nullopt;
+  JobRecord r{static_cast<JobStatus>(*status),
+              ShareNo{static_cast<std::uint32_t>(*share)},
+              static_cast<std::uint32_t>(*tasks),
+              0,
+              {},
+              {}};
+  if (r.status != JobStatus::Open) return r;
+  auto chunk = countAt(*doc, "ch");
+  auto at = countAt(*doc, "at");
+  if (!chunk || *chunk == 0 || !at || !doc->contains("spec")) return std::nullopt;
+  r.chunk = static_cast<std::uint32_t>(*chunk);
+  r.submitted = WallTime{static_cast<std::int64_t>(*at)};
+  const Json& j = doc->at("spec");
+  const Json& each = listAt(j, "each");
+  auto rank = countAt(j, "rank");
+  if (each.size() != 3 || !rank || *rank > 3) return std::nullopt;
+  for (const auto& e : each)
+    if (!e.is_number()) return std::nullopt;
+  JobSpec s;
+  s.id = id;
+  s.jobClass = textAt(j, "class").value_or("");
+  s.team = TeamId{textAt(j, "team").value_or("")};
+  s.shape = flagAt(j, "service").value_or(false) ? Shape::Service : Shape::Array;
+  s.rank = static_cast<Rank>(*rank);
+  s.tasks = r.tasks;
+  s.each = {each[0].get<double>(), each[1].get<double>(), each[2].get<double>()};
+  s.image = ImageId{textAt(j, "image").value_or("")};
+  s.imageGb = numberAt(j, "gb").value_or(0);
+  s.oneZone = flagAt(j, "onezone").value_or(false);
+  s.spread = flagAt(j, "spread").value_or(false);
+  s.lendable = flagAt(j, "lend").value_or(false);
+  s.expectS = numberAt(j, "expect").value_or(0);
+  s.snapshotEveryS = numberAt(j, "every").value_or(0);
+  s.snapshotS = numberAt(j, "save").value_or(0);
+  if (j.contains("types")) {
+    s.types.emplace();
+    for (const auto& t : listAt(j, "types"))
+      if (t.is_string()) s.types->push_back(t.get<std::string>());
+  }
+  if (auto z = textAt(j, "zone")) s.zone = Zone{*z};
+  s.dueS = numberAt(j, "due");
+  r.spec = std::move(s);
+  return r;
+}
+
+std::string encodeRun(const RunRecord& r) {
+  Json done = Json::array();
+  for (std::size_t i = 0; i < r.done.size();) {
+    std::size_t last = i;
+    while (last + 1 < r.done.size() && r.done[last + 1] == r.done[last] + 1) ++last;
+    done.push_back({r.done[i], r.done[last]});
+    i = last + 1;
+  }
+  Json placed = Json::array();
+  for (const auto& p : r.placed) placed.push_back({p.index, p.attempt.value, p.host.value});
+  return dump(Json{{"d", std::move(done)}, {"p", std::move(placed)}});
+}
+
+std::optional<RunRecord> parseRun(const std::string& value) {
+  auto doc = parse(value);
+  if (!doc) return std::nullopt;
+  RunRecord r;
+  for (const auto& range : listAt(*doc, "d")) {
+    if (!range.is_array() || range.size() != 2 || !range[0].is_number_unsigned() ||
+        !range[1].is_number_unsigned())
+      return std::nullopt;
+    auto last = range[1].get<std::uint32_t>();
+    for (auto i = range[0].get<std::uint32_t>(); i <= last; ++i) r.done.push_back(i);
+  }
+  for (const auto& p : listAt(*doc, "p")) {
+    if (!p.is_array() || p.size() != 3 || !p[0].is_number_unsigned() || !p[1].is_number_unsigned() ||
+        !p[2].is_string())
+      return std::nullopt;
+    r.placed.push_back(
+        {p[0].get<std::uint32_t>(), Attempt{p[1].get<std::uint64_t>()}, HostId{p[2].get<std::string>()}});
+  }
+  return r;
+}
+
+std::string encodeHost(const HostRecord& r) {
+  return dump(Json{{"sh", r.share.value},
+                   {"tk", r.token.value},
+                   {"ph", static_cast<int>(r.phase)},
+                   {"ty", r.type},
+                   {"zo", r.zone.value},
+                   {"sp", r.spot},
+                   {"ad", r.address},
+                   {"at", r.since.value}});
+}
+
+std::optional<HostRecord> parseHost(const std::string& value) {
+  auto doc = parse(value);
+  if (!doc) return std::nullopt;
+  auto share = countAt(*doc, "sh");
+  auto token = countAt(*doc, "tk");
+  auto phase = countAt(*doc, "ph");
+  if (!share || !token || !phase || *phase > 2) return std::nullopt;
+  return HostRecord{ShareNo{static_cast<std::uint32_t>(*share)},
+                    Epoch{*token},
+                    static_cast<HostPhase>(*phase),
+                    textAt(*doc, "ty").value_or(""),
+                    Zone{textAt(*doc, "zo").value_or("")},
+                    flagAt(*doc, "sp").value_or(false),
+                    textAt(*doc, "ad").value_or(""),
+                    WallTime{static_cast<std::int64_t>(countAt(*doc, "at").value_or(0))}};
+}
+
+std::string encodeOwnerRecord(const OwnerRecord& r) {
+  return dump(Json{{"own", r.owner.value}, {"ep", r.epoch.value}});
+}
+
+std::optional<OwnerRecord> parseOwnerRecord(const std::string& value) {
+  auto doc = parse(value);
+  auto owner = doc ? textAt(*doc, "own") : std::nullopt;
+  auto epoch = doc ? countAt(*doc, "ep") : std::nullopt;
+  if (!owner || !epoch) return std::nullopt;
+  return OwnerRecord{NodeId{*owner}, Epoch{*epoch}};
+}
+
+std::string encodeCounter(Epoch e) { return dump(Json{{"n", e.value}}); }
+
+std::optional<Epoch> parseCounter(const std::string& value) {
+  auto doc = parse(value);
+  auto n = doc ? countAt(*doc, "n") : std::nullopt;
+  if (!n) return std::nullopt;
+  return Epoch{*n};
+}
+
+}  // namespace cherryloft::wire
--- /dev/null
+++ b/src/wire/store.h
@@ -0,0 +1,93 @@
+// The state service's side of the protocol, and the records that this project keeps there.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/job.h"
+
+namespace cherryloft::wire {
+
+struct KeyChange {
+  std::string key;
+  std::optional<std::string> value;  // JSON text; nothing: the key is gone
+  Stamp stamp;
+};
+
+struct Write {
+  std::string key;
+  std::optional<std::string> value;  // nothing: drop the key
+  std::optional<std::uint64_t> hold;
+};
+struct Transaction {
+  std::map<std::string, Stamp> when;
+  std::vector<Write> apply;
+};
+
+std::string encodeTransaction(const Transaction& t);
+std::size_t weightOf(const Write& w);  // bytes it adds to a transaction, about
+
+struct KeyPage {
+  std::vector<KeyChange> entries;
+  bool truncated = false;
+  Stamp revision;
+};
+std::optional<KeyPage> parseEntries(const std::string& body);
+std::optional<KeyPage> parseNews(const std::string& body);
+std::optional<KeyChange> parseKey(const std::string& body);
+std::optional<Stamp> parseRevision(const std::string& body);
+std::vector<std::string> parseFailed(const std::string& body);
+std::optional<std::uint64_t> parseHold(const std::string& body);
+
+// --- records ---
+
+struct JobRecord {
+  JobStatus status = JobStatus::Open;
+  ShareNo share;
+  std::uint32_t tasks = 0;
+  std::uint32_t chunk = 0;  // tasks per run/ key
+  WallTime submitted;
+  std::optional<JobSpec> spec;  // kept while open
+};
+std::string encodeJobRecord(const JobRecord& r);
+std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value);
+
+struct RunEntry {
+  std::uint32_t index = 0;
+  Attempt attempt;
+  HostId host;
+};
+struct RunRecord {
+  std::vector<std::uint32_t> done;  // ascending
+  std::vector<RunEntry> placed;
+};
+std::string encodeRun(const RunRecord& r);
+std::optional<RunRecord> parseRun(const std::string& value);
+
+enum class HostPhase : std::uint8_t { InUse, Draining, Returning };
+struct HostRecord {
+  ShareNo share;
+  Epoch token;
+  HostPhase phase = HostPhase::InUse;
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  std::string address;  // empty until known
+  WallTime since;
+};
+std::string encodeHost(const HostRecord& r);
+std::optional<HostRecord> parseHost(const std::string& value);
+
+struct OwnerRecord {
+  NodeId owner;
+  Epoch epoch;
+};
+std::string encodeOwnerRecord(const OwnerRecord& r);
+std::optional<OwnerRecord> parseOwnerRecord(const std::string& value);
+
+std::string encodeCounter(Epoch e);
+std::optional<Epoch> parseCounter(const std::string& value);
+
+}  // namespace cherryloft::wire
--- /dev/null
+++ b/src/wire/workers.cpp
@@ -0,0 +1,110 @@
+#include "wire/workers.h"
+
+#include <charconv>
+
+#include "wire/json.h"
+
+namespace cherryloft::wire {
+namespace {
+
+std::optional<ReportedTask> parseReported(const Json& e) {
+  auto task = textAt(e, "piece");
+  auto attempt = countAt(e, "try");
+  auto phase = textAt(e, "status");
+  auto id = task ? parseTask(*task) : std::nullopt;
+  if (!id || !attempt || !phase) return std::nullopt;
+  ReportedTask t{*id, Attempt{*attempt}, TaskPhase::Fetching, ExitCause::Unknown};
+  if (*phase == "fetching" || *phase == "gathering") {
+    t.phase = TaskPhase::Fetching;
+  } else if (*phase == "running") {
+    t.phase = TaskPhase::Running;
+  } else if (*phase == "flushing") {
+    t.phase = TaskPhase::Saving;
+  } else if (*phase == "ended") {
+    t.phase = TaskPhase::Exited;
+    auto cause = textAt(e, "exit_cause").value_or("");
+    t.cause = cause == "done"      ? ExitCause::Done
+              : cause == "halted"  ? ExitCause::Stopped
+              : cause == "no_room" ? ExitCause::NoRoom
+              : cause == "busy"    ? ExitCause::Busy
+              : cause == "unknown" ? ExitCause::Unknown
+                                   : ExitCause::Error;
+  } else {
+    return std::nullopt;
+  }
+  return t;
+}
+
+Json ordersJson(const std::vector<Order>& orders) {
+  Json list = Json::array();
+  for (const auto& o : orders) {
+    Json j{{"piece", encodeTask(o.task)}, {"try", o.attempt.value}};
+    switch (o.verb) {
+      case Order::Verb::Start:
+        j["verb"] = "start";
+        break;
+      case Order::Verb::Stop:
+        j["verb"] = "kill";
+        j["grace_s"] = o.graceS;
+        break;
+      case Order::Verb::Forget:
+        j["verb"] = "forget";
+        break;
+    }
+    list.push_back(std::move(j));
+  }
+  return list;
+}
+
+}  // namespace
+
+std::string encodeTask(const TaskId& t) { return t.job.value + "/" + std::to_string(t.index); }
+
+std::optional<TaskId> parseTask(const std::string& text) {
+  auto slash = text.rfind('/');
+  if (slash == std::string::npos || slash == 0) return std::nullopt;
+  TaskId t{JobId{text.substr(0, slash)}, 0};
+  const char* end = text.data() + text.size();
+  auto [p, ec] = std::from_chars(text.data() + slash + 1, end, t.index);
+  if (ec != std::errc{} || p != end) return std::nullopt;
+  return t;
+}
+
+std::optional<Report> parseReport(const std::string& body) {
+  auto doc = parse(body);
+  if (!doc) return std::nullopt;
+  auto host = textAt(*doc, "host");
+  auto tenure = countAt(*doc, "tenure");
+  auto serial = countAt(*doc, "serial");
+  auto token = countAt(*doc, "epoch");
+  if (!host || host->empty() || !tenure || !serial || !token) return std::nullopt;
+  Report r{HostId{*host},
+           textAt(*doc, "addr").value_or(""),
+           textAt(*doc, "flavour").value_or(""),
+           Zone{textAt(*doc, "site").value_or("")},
+           flagAt(*doc, "lendable").value_or(false),
+           Tenure{*tenure},
+           Serial{*serial},
+           Token{*token},
+           numberAt(*doc, "reclaim_in_s"),
+           {}};
+  for (const auto& e : listAt(*doc, "pieces")) {
+    auto t = parseReported(e);
+    // A list that cannot be read in full proves nothing about what is absent from it.
+    if (!t) return std::nullopt;
+    r.tasks.push_back(std::move(*t));
+  }
+  return r;
+}
+
+std::string encodeOrders(Token token, const std::vector<Order>& orders) {
+  return dump(Json{{"epoch", token.value}, {"orders", ordersJson(orders)}});
+}
+
+std::string encodeCommands(Token token, Tenure tenure, const std::vector<Order>& orders) {
+  return dump(Json{{"epoch", token.value}, {"tenure", tenure.value}, {"orders", ordersJson(orders)}});
+}
+
+std::string encodeOwner(const NodeId& owner) { return dump(Json{{"steward", owner.value}}); }
+
+}  // namespace cherryloft::wire
--- /dev/null
+++ b/src/wire/workers.h
@@ -0,0 +1,53 @@
+// The workers' side of the protocol: reports and orders.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/types.h"
+
+namespace cherryloft::wire {
+
+enum class TaskPhase : std::uint8_t { Fetching, Running, Saving, Exited };
+enum class ExitCause : std::uint8_t { Done, Stopped, Error, NoRoom, Busy, Unknown };
+
+struct ReportedTask {
+  TaskId task;
+  Attempt attempt;
+  TaskPhase phase = TaskPhase::Fetching;
+  ExitCause cause = ExitCause::Unknown;
+};
+
+struct Report {
+  HostId host;
+  std::string address;
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  Tenure tenure;
+  Serial serial;
+  Token token;
+  std::optional<double> reclaimInS;
+  std::vector<ReportedTask> tasks;
+};
+
+std::optional<Report> parseReport(const std::string& body);
+
+struct Order {
+  enum class Verb : std::uint8_t { Start, Stop, Forget };
+  Verb verb = Verb::Start;
+  TaskId task;
+  Attempt attempt;
+  double graceS = 0;
+};
+
+// The answer to a check-in, and the body of direct commands.
+std::string encodeOrders(Token token, const std::vector<Order>& orders);
+std::string encodeCommands(Token token, Tenure tenure, const std::vector<Order>& orders);
+std::string encodeOwner(const NodeId& owner);
+
+std::string encodeTask(const TaskId& t);
+std::optional<TaskId> parseTask(const std::string& text);
+
+}  // namespace cherryloft::wire
