--- a/src/actors/membership.cpp
+++ b/src/actors/membership.cpp
@@ -25,7 +25,7 @@
   if (opening_) return;
   opening_ = true;
   auto sent = io_.now();
-  store_.openHold(settings_.tuning.holdTtl, [this, sent](std::optional<std::uint64_t> id) {
+  store_.openHold(settings_.holdTtl(), [this, sent](std::optional<std::uint64_t> id) {
     opening_ = false;
     if (!id) {
       io_.after(Duration{200}, [this] { open(); });
@@ -75,7 +75,7 @@
 void Membership::renew() {
   if (!hold_) return;
   auto sent = io_.now();
-  auto patience = std::max(settings_.tuning.holdTtl / 3, Duration{100});
+  auto patience = std::max(settings_.holdTtl() / 3, Duration{100});
   store_.renewHold(*hold_, patience, [this, sent](StateStore::Renewal r) { renewed(sent, r); });
 }
 
@@ -86,7 +86,7 @@
       extend(sent);
       if (silent_ && joined_) store_.restartWatches();
       silent_ = false;
-      io_.after(std::max(sent + settings_.tuning.holdTtl / 4 - now, Duration{10}), [this] { renew(); });
+      io_.after(std::max(sent + settings_.holdTtl() / 4 - now, Duration{10}), [this] { renew(); });
       break;
     case StateStore::Renewal::NoAnswer:
       silent_ = true;
@@ -105,7 +105,7 @@
 }
 
 void Membership::extend(Time sent) {
-  auto ttl = settings_.tuning.holdTtl;
+  auto ttl = settings_.holdTtl();
   auto drift = Duration{static_cast<std::int64_t>(static_cast<double>(ttl.count()) * kDrift)};
   own_.ownsUntil = std::max(own_.ownsUntil, sent + ttl - drift - kRounding);
   own_.answersUntil = std::max(own_.answersUntil, own_.ownsUntil + settings_.grace());
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -180,13 +180,10 @@
 // The record is gone or another share's: the machine was returned, or was empty when it was given.
 void Scheduler::dropHost(const HostId& id) {
   Host* h = books_.host(id);
-  auto now = io_.now();
   bool held = !h->placements.empty();
   while (!h->placements.empty()) {
     auto task = h->placements.begin()->first;
-    Job& job = *h->placements.begin()->second.job;
-    books_.gone(*h, task, now);
-    cleanUp(job);
+    lose(*h, task);
   }
   drawAt_.erase(id);
   books_.removeHost(id);
@@ -354,9 +351,7 @@
     it->second.committed = true;
     if (!it->second.wanted || !usable(*h)) {
       // Never sent, so it is nowhere.
-      Job& job = *it->second.job;
-      books_.gone(*h, task, io_.now());
-      cleanUp(job);
+      lose(*h, task);
       wake(true);
       continue;
     }
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -66,6 +66,7 @@
   // Machines.
   void apply(Host& h, const wire::Report& r, bool checkIn);
   void newTenure(Host& h);
+  void lose(Host& h, const TaskId& task);
   void ended(Host& h, const wire::ReportedTask& t);
   void absent(Host& h, const wire::Report& r, bool checkIn);
   std::vector<wire::Order> orders(Host& h, const wire::Report* checkIn);
@@ -93,6 +94,8 @@
   };
   std::vector<Ranked> candidates();
   unsigned placeSome(Job& job, unsigned most);
+  bool placeGang(Job& job);
+  void gangBroken(Job& job);
   bool allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const;
   Host* choose(Job& job, std::set<HostId>& refused);
   void makeRoom(const std::vector<Ranked>& blocked);
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -94,18 +94,25 @@
   wake(freed, &h.id);
 }
 
+// The task is known gone from the machine.
+void Scheduler::lose(Host& h, const TaskId& task) {
+  auto it = h.placements.find(task);
+  if (it == h.placements.end()) return;  // went together with another member of its gang
+  Job& job = *it->second.job;
+  books_.gone(h, task, io_.now());
+  gangBroken(job);
+  cleanUp(job);
+}
+
 // The worker killed and forgot everything of the tenures before (invariant 2).
 void Scheduler::newTenure(Host& h) {
-  auto now = io_.now();
   h.unsettled.reset();
   h.reported.clear();
   std::vector<TaskId> lost;
   for (const auto& [task, p] : h.placements)
     if (p.sent || p.restored) lost.push_back(task);
   for (const auto& task : lost) {
-    Job& job = *h.placements.at(task).job;
-    books_.gone(h, task, now);
-    cleanUp(job);
+    lose(h, task);
   }
 }
 
@@ -152,6 +159,7 @@
     default:
       break;
   }
+  gangBroken(job);
   cleanUp(job);
 }
 
@@ -167,9 +175,7 @@
     if (p.shown || never || (p.sent && !p.wanted && !onItsWay)) lost.push_back(task);
   }
   for (const auto& task : lost) {
-    Job& job = *h.placements.at(task).job;
-    books_.gone(h, task, io_.now());
-    cleanUp(job);
+    lose(h, task);
   }
 }
 
@@ -301,9 +307,7 @@
 void Scheduler::stop(Host& h, const TaskId& id, Placement& p) {
   p.wanted = false;
   if (!p.committed || p.sent || p.restored) return;
-  Job& job = *p.job;  // committed but never sent: it is nowhere
-  books_.gone(h, id, io_.now());
-  cleanUp(job);
+  lose(h, id);  // committed but never sent: it is nowhere
 }
 
 void Scheduler::watchSilence(Host& h, Time now) {
@@ -318,9 +322,7 @@
     for (const auto& [task, p] : h.placements)
       if (p.committed) lost.push_back(task);
     for (const auto& task : lost) {
-      Job& job = *h.placements.at(task).job;
-      books_.gone(h, task, now);
-      cleanUp(job);
+      lose(h, task);
     }
     wake(true);
   }
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -69,6 +69,11 @@
     for (auto& r : list) r.c.turns = turns[r.job->spec->team];
     auto best = std::min_element(list.begin(), list.end(),
                                  [](const Ranked& a, const Ranked& b) { return policy::before(a.c, b.c); });
+    if (best->job->spec->shape == Shape::Gang) {
+      if (!placeGang(*best->job)) blocked.push_back(*best);
+      list.erase(best);
+      continue;
+    }
     auto most = std::min<std::size_t>(kTurn, best->job->waiting.size());
     auto got = placeSome(*best->job, static_cast<unsigned>(most));
     ++turns[best->job->spec->team];
@@ -85,12 +90,15 @@
 unsigned Scheduler::placeSome(Job& job, unsigned most) {
   std::set<HostId> refused;  // by the draw, in this round
   unsigned got = 0;
+  // The members of a gang find each other by their common attempt.
+  bool gang = job.spec->shape == Shape::Gang;
+  if (gang) ++attempts_;
   while (got < most && !job.waiting.empty() && books_.withinLimit(job)) {
     Host* h = choose(job, refused);
     if (!h) break;
     auto index = job.waiting.front();
     job.waiting.pop_front();
-    auto attempt = attemptOf(taken_.epoch, ++attempts_);
+    auto attempt = attemptOf(taken_.epoch, gang ? attempts_ : ++attempts_);
     books_.place(job, index, *h, attempt, io_.now());
     h->images.touch(job.spec->image, job.spec->imageGb);
     dirty_.insert({job.id, index / job.chunk});
@@ -100,6 +108,35 @@
   return got;
 }
 
+// A gang is placed whole: machines for all its members in one pass, or none of them. False: it is blocked.
+bool Scheduler::placeGang(Job& job) {
+  if (job.placed > 0) return true;  // what is left of an earlier try must go first
+  auto keys = (job.tasks.size() + job.chunk - 1) / job.chunk;
+  if (!dirty_.empty() && dirty_.size() + keys > settings_.txnOps) return true;  // the next round is its own
+  auto all = static_cast<unsigned>(job.waiting.size());
+  if (placeSome(job, all) == all) return true;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+    if (Host* h = job.tasks[i].host) books_.gone(*h, TaskId{job.id, i}, io_.now());
+  dirty_.erase(dirty_.lower_bound({job.id, 0}), dirty_.upper_bound({job.id, UINT32_MAX}));
+  std::sort(job.waiting.begin(), job.waiting.end());
+  return false;
+}
+
+// A member is gone: the others can't go on without it and start anew with it.
+void Scheduler::gangBroken(Job& job) {
+  if (job.spec->shape != Shape::Gang || job.status != JobStatus::Open) return;
+  std::set<HostId> on;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    Host* h = job.tasks[i].host;
+    auto id = TaskId{job.id, i};
+    if (!h || !h->placements.at(id).wanted) continue;
+    stop(*h, id, h->placements.at(id));
+    on.insert(h->id);
+  }
+  for (const auto& id : on)
+    if (Host* h = books_.host(id)) direct(*h);
+}
+
 // Everything but room and the draw: type, kind, zone, and the zones of the job's other tasks.
 bool Scheduler::allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const {
   const auto& s = *job.spec;
--- a/src/base/job.h
+++ b/src/base/job.h
@@ -10,7 +10,7 @@
 namespace cherryloft {
 
 enum class Rank : std::uint8_t { BestEffort, Normal, High, Production };
-enum class Shape : std::uint8_t { Array, Service };
+enum class Shape : std::uint8_t { Array, Service, Gang };
 enum class JobStatus : std::uint8_t { Open, Done, Aborted };
 
 struct Resources {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -60,12 +60,16 @@
   return a;
 }
 
-Duration Settings::grace() const {
-  // TTL + grace + lease + margin must stay within cancel_s (invariant 6); half a percent covers all drift.
-  Duration margin = seconds(3.0 + 0.005 * cancelS);
-  return std::max(Duration{0}, seconds(cancelS - leaseS) - tuning.holdTtl - margin);
+// TTL + grace + lease + margin must stay within cancel_s (invariant 6). The margin covers drift, a request's
+// way and the steps in which silence is noticed; where there is little room it shrinks with it.
+Duration Settings::margin() const {
+  return seconds(std::min(3.0 + 0.005 * cancelS, 0.4 * (cancelS - leaseS)));
 }
 
+Duration Settings::holdTtl() const { return std::min(tuning.holdTtl, seconds(cancelS - leaseS) - margin()); }
+
+Duration Settings::grace() const { return seconds(cancelS - leaseS) - margin() - holdTtl(); }
+
 const Team* Settings::team(const TeamId& name) const {
   auto it = std::lower_bound(teams.begin(), teams.end(), name,
                              [](const Team& t, const TeamId& n) { return t.name < n; });
@@ -126,8 +130,7 @@
   s.listLagS = number(c, "list_lag_s", 0, 3600);
   s.fdLimit = static_cast<unsigned>(number(object(d, "machine_limits"), "fd_limit", 32, 1e6));
   s.clockErrorMs = number(d, "clock_error_ms", 0, 1e6);
-  if (tuning.holdTtl < Duration{500} || s.grace() == Duration{0})
-    throw SettingsError("the hold's TTL leaves no room between lease_s and cancel_s");
+  if (s.holdTtl() < Duration{300}) throw SettingsError("settings: no room for a hold between lease_s and cancel_s");
   return s;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -64,8 +64,11 @@
   std::vector<NodeId> nodes;  // all controllers, sorted; the index is the number of the home share
 
   unsigned size() const { return static_cast<unsigned>(nodes.size()); }
+  // The life of this controller's hold: the operators' choice, or less where the deployment leaves no room.
+  Duration holdTtl() const;
   // How long after its hold ran out a controller goes on answering check-ins (invariant 6).
   Duration grace() const;
+  Duration margin() const;
   ShareNo shareOfTeam(const TeamId& team) const;
   const Team* team(const TeamId& name) const;
   ShareNo homeShare(const NodeId& name) const;
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -104,7 +104,7 @@
     j["at"] = r.submitted.value;
     Json spec{{"class", s.jobClass},
               {"team", s.team.value},
-              {"service", s.shape == Shape::Service},
+              {"shape", static_cast<int>(s.shape)},
               {"rank", static_cast<int>(s.rank)},
               {"each", {s.each.cores, s.each.gpus, s.each.ram}},
               {"image", s.image.value},
@@ -145,14 +145,15 @@
   const Json& j = doc->at("spec");
   const Json& each = listAt(j, "each");
   auto rank = countAt(j, "rank");
-  if (each.size() != 3 || !rank || *rank > 3) return std::nullopt;
+  auto shape = countAt(j, "shape");
+  if (each.size() != 3 || !rank || *rank > 3 || !shape || *shape > 2) return std::nullopt;
   for (const auto& e : each)
     if (!e.is_number()) return std::nullopt;
   JobSpec s;
   s.id = id;
   s.jobClass = textAt(j, "class").value_or("");
   s.team = TeamId{textAt(j, "team").value_or("")};
-  s.shape = flagAt(j, "service").value_or(false) ? Shape::Service : Shape::Array;
+  s.shape = static_cast<Shape>(*shape);
   s.rank = static_cast<Rank>(*rank);
   s.tasks = r.tasks;
   s.each = {each[0].get<double>(), each[1].get<double>(), each[2].get<double>()};
--- a/src/wire/users.cpp
+++ b/src/wire/users.cpp
@@ -63,6 +63,8 @@
   auto shape = f.name("shape");
   if (shape == "service")
     s.shape = Shape::Service;
+  else if (shape == "ensemble")
+    s.shape = Shape::Gang;
   else if (shape != "sweep")
     f.wrong("shape");
   auto rank = f.name("rank");
--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -28,6 +28,7 @@
               : cause == "no_room" ? ExitCause::NoRoom
               : cause == "busy"    ? ExitCause::Busy
               : cause == "unknown" ? ExitCause::Unknown
+                                   : cause == "peers" || cause == "alone" ? ExitCause::Peers
                                    : ExitCause::Error;
   } else {
     return std::nullopt;
--- a/src/wire/workers.h
+++ b/src/wire/workers.h
@@ -10,7 +10,8 @@
 namespace cherryloft::wire {
 
 enum class TaskPhase : std::uint8_t { Fetching, Running, Saving, Exited };
-enum class ExitCause : std::uint8_t { Done, Stopped, Error, NoRoom, Busy, Unknown };
+// Peers: a member of a gang ended because the others were not there.
+enum class ExitCause : std::uint8_t { Done, Stopped, Error, NoRoom, Busy, Unknown, Peers };
 
 struct ReportedTask {
   TaskId task;
