--- /dev/null
+++ b/tests/unit/smoke.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/tests/world/clock.h
@@ -0,0 +1,36 @@
+// The world's time: one queue of events, in order, with no real time in it.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+
+namespace world {
+
+using Ms = std::int64_t;
+
+class Clock {
+ public:
+  explicit Clock(std::uint64_t seed) : rng(seed) {}
+  Ms now() const { return now_; }
+  void at(Ms t, std::function<void()> f) { queue_.emplace(std::max(t, now_), std::move(f)); }
+  void after(Ms d, std::function<void()> f) { at(now_ + d, std::move(f)); }
+  void run(Ms until) {
+    while (!queue_.empty() && queue_.begin()->first <= until) {
+      auto e = queue_.extract(queue_.begin());
+      now_ = e.key();
+      e.mapped()();
+    }
+    now_ = until;
+  }
+  double uniform(double low, double high) { return std::uniform_real_distribution<double>(low, high)(rng); }
+  bool chance(double p) { return uniform(0, 1) < p; }
+  std::mt19937_64 rng;
+
+ private:
+  Ms now_ = 0;
+  std::multimap<Ms, std::function<void()>> queue_;
+};
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/cloud.cpp
@@ -0,0 +1,172 @@
+#include "world/cloud.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "world/store.h"
+
+namespace world {
+namespace {
+using Json = nlohmann::json;
+}
+
+Cloud::Cloud(Clock& clock, Net& net, Checker& checker, const Natures& natures, const cherryloft::Settings& settings,
+             std::vector<CloudType> types, unsigned controllers)
+    : clock_(clock),
+      net_(net),
+      checker_(checker),
+      natures_(natures),
+      settings_(settings),
+      types_(std::move(types)),
+      controllers_(controllers) {
+  net_.serve("cloud", [this](const std::string&, HttpRequest r, Reply reply) {
+    clock_.after(100, [this, r = std::move(r), reply = std::move(reply)] { handle(r, reply); });
+  });
+}
+
+std::string Cloud::addressOf(const std::string& id) const {
+  return "10.1." + id.substr(id.size() - 3, 1) + "." + std::to_string(std::stoi(id.substr(id.size() - 2)) + 1) + ":9000";
+}
+
+Cloud::Rented& Cloud::create(const std::string& type, const std::string& zone, bool spot) {
+  char id[32];
+  std::snprintf(id, sizeof id, "host-%06u", ++count_);
+  auto& r = hosts_[id];
+  r.machine = {id, type, zone, spot};
+  r.since = clock_.now();
+  return r;
+}
+
+void Cloud::up(const std::string& id) {
+  auto& r = hosts_.at(id);
+  if (r.goneAt >= 0) return;
+  r.upAt = clock_.now();
+  auto t = std::find_if(types_.begin(), types_.end(), [&](const auto& x) { return x.name == r.machine.type; });
+  r.worker = std::make_unique<Worker>(clock_, net_, checker_, natures_, settings_, r.machine, addressOf(id),
+                                      t->fetchGbPerS, t->size, controllers_);
+}
+
+void Cloud::addRunning(const std::string& type, const std::string& zone) {
+  auto id = create(type, zone, false).machine.id;
+  up(id);
+}
+
+void Cloud::die(const std::string& host) {
+  auto& r = hosts_.at(host);
+  if (r.worker) r.worker->die();
+  clock_.after(30'000, [this, host] {
+    auto& gone = hosts_.at(host);
+    if (gone.goneAt < 0) gone.failedAt = clock_.now();
+  });
+}
+
+void Cloud::reclaim(const std::string& host, Ms notice) {
+  auto& r = hosts_.at(host);
+  if (notice > 0 && r.worker) r.worker->notice(clock_.now() + notice);
+  clock_.after(notice, [this, host] {
+    auto& gone = hosts_.at(host);
+    if (gone.worker) gone.worker->die();
+    if (gone.goneAt < 0) gone.goneAt = clock_.now();
+  });
+}
+
+Worker* Cloud::worker(const std::string& host) {
+  auto it = hosts_.find(host);
+  return it == hosts_.end() ? nullptr : it->second.worker.get();
+}
+
+Worker* Cloud::nth(unsigned n) {
+  for (auto& [_, r] : hosts_)
+    if (r.worker && r.goneAt < 0 && r.failedAt < 0 && n-- == 0) return r.worker.get();
+  return nullptr;
+}
+
+std::size_t Cloud::held() const {
+  return static_cast<std::size_t>(
+      std::count_if(hosts_.begin(), hosts_.end(), [](const auto& h) { return h.second.goneAt < 0; }));
+}
+
+HttpResponse Cloud::rent(const std::string& body) {
+  auto doc = Json::parse(body);
+  auto claim = doc["claim"].get<std::string>();
+  if (claims_.count(claim)) return claims_[claim];
+  auto type = doc["flavour"].get<std::string>();
+  auto zone = doc["site"].get<std::string>();
+  bool spot = doc["lendable"].get<bool>();
+  auto t = std::find_if(types_.begin(), types_.end(), [&](const auto& x) { return x.name == type; });
+  if (t == types_.end()) return {400, "{}", false, 0};
+  auto have = std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& h) {
+    const auto& m = h.second.machine;
+    return h.second.goneAt < 0 && m.type == type && m.zone == zone && m.spot == spot;
+  });
+  auto limit = static_cast<long>(spot ? t->spotCapacity : t->capacity);
+  if (clock_.now() < noCapacityUntil_) limit = 0;
+  auto grant = std::min<long>(doc["count"].get<long>(), limit - have);
+  if (grant <= 0) return {503, R"({"error":"no capacity"})", false, 0};
+  Json names = Json::array();
+  for (long i = 0; i < grant; ++i) {
+    auto id = create(type, zone, spot).machine.id;
+    ++rented_;
+    names.push_back(id);
+    if (clock_.now() < noBootUntil_) continue;
+    clock_.after(static_cast<Ms>(static_cast<double>(t->boot) * clock_.uniform(0.6, 1.5)), [this, id] { up(id); });
+  }
+  return claims_[claim] = {200, Json{{"hosts", names}}.dump(), false, 0};
+}
+
+HttpResponse Cloud::giveBack(const std::string& body) {
+  for (const auto& name : Json::parse(body)["hosts"]) {
+    auto it = hosts_.find(name.get<std::string>());
+    if (it == hosts_.end()) continue;
+    if (it->second.worker) it->second.worker->die();
+    if (it->second.goneAt < 0) it->second.goneAt = clock_.now();
+  }
+  return {200, "{}", false, 0};
+}
+
+// As it was some time ago; now and then older than the list before it.
+HttpResponse Cloud::list(const HttpRequest& r) {
+  auto q = queryOf(r.target);
+  Ms lag = static_cast<Ms>(settings_.listLagS * 1000 * (clock_.chance(0.1) ? 2.0 : clock_.uniform(0.8, 1.0)));
+  Ms then = clock_.now() - lag;
+  auto limit = std::stoul(q.count("limit") ? q["limit"] : "500");
+  Json out = Json::array();
+  bool truncated = false;
+  for (const auto& [id, h] : hosts_) {
+    if (q.count("since") && id <= q["since"]) continue;
+    if (h.since > then || (h.goneAt >= 0 && h.goneAt <= then)) continue;
+    if (out.size() >= limit) {
+      truncated = true;
+      break;
+    }
+    const char* state = h.failedAt >= 0 && h.failedAt <= then ? "failed"
+                        : h.upAt >= 0 && h.upAt <= then       ? "running"
+                                                              : "starting";
+    out.push_back({{"name_id", id}, {"addr", addressOf(id)}, {"flavour", h.machine.type}, {"site", h.machine.zone},
+                   {"lendable", h.machine.spot}, {"status", state},
+                   {"held_s", static_cast<double>(then - h.since) / 1000.0}});
+  }
+  return {200, Json{{"hosts", out}, {"truncated", truncated}}.dump(), false, 0};
+}
+
+void Cloud::handle(HttpRequest r, Reply reply) {
+  if (clock_.now() < outageUntil_) return reply({503, R"({"error":"trouble"})", false, 0});
+  auto path = r.target.substr(0, r.target.find('?'));
+  if (path == "/catalog") {
+    Json list = Json::array();
+    Json zones = Json::array();
+    for (const auto& z : settings_.zones) zones.push_back(z.value);
+    for (const auto& t : types_)
+      list.push_back({{"sku", t.name}, {"cores", t.size.cores}, {"gpus", t.size.gpus}, {"ram_gb", t.size.ram},
+                      {"cache_gb", t.cacheGb}, {"fetch_gb_per_s", t.fetchGbPerS}, {"price", t.price},
+                      {"market_price", t.spotPrice}, {"startup_s", static_cast<double>(t.boot) / 1000},
+                      {"sites", zones}});
+    return reply({200, Json{{"flavours", list}}.dump(), false, 0});
+  }
+  if (path == "/hosts/return") return reply(giveBack(r.body));
+  if (path == "/hosts" && r.method == "POST") return reply(rent(r.body));
+  if (path == "/hosts") return reply(list(r));
+  reply({404, "{}", false, 0});
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/cloud.h
@@ -0,0 +1,138 @@
+// Stand-ins of the cloud and of its machines with their workers.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "world/checker.h"
+#include "world/net.h"
+
+namespace world {
+
+// How a task behaves, by the world's own knowledge of the job.
+struct TaskNature {
+  cherryloft::JobSpec spec;
+  Ms run = 10'000;
+  bool fails = false;
+};
+using Natures = std::map<std::string, TaskNature>;
+
+class Worker {
+ public:
+  Worker(Clock& clock, Net& net, Checker& checker, const Natures& natures, const cherryloft::Settings& settings,
+         Machine machine, std::string address, double fetchGbPerS, cherryloft::Resources size, unsigned controllers);
+  ~Worker() { die(); }
+  void die();
+  void hang(Ms until) { hungUntil_ = until; }
+  void notice(Ms takenAt) { takenAt_ = takenAt; }
+  // Runs a task on nobody's order, to prove that the checker sees it.
+  void plant(const std::string& job, std::uint32_t index);
+  const Machine& machine() const { return machine_; }
+  bool holdsNothing() const { return tasks_.empty(); }
+  unsigned tenures() const { return static_cast<unsigned>(tenure_); }
+
+ private:
+  using Json = nlohmann::json;
+  struct Held {
+    std::uint64_t attempt = 0;
+    std::string state, cause;
+    bool onMachine = false;
+    std::uint64_t run = 0;  // distinguishes timers of earlier tasks
+  };
+  using Key = std::pair<std::string, std::uint32_t>;
+
+  template <class F>
+  void later(Ms d, F f) {
+    clock_.after(d, [f = std::move(f), alive = std::weak_ptr<bool>(alive_)] {
+      if (alive.lock()) f();
+    });
+  }
+  void awake(std::function<void()> f);
+  void schedule(Ms d);
+  void report();
+  void answered(Ms sentAt, std::uint64_t tenure, const HttpResult& r);
+  void handle(HttpRequest r, Reply reply);
+  void execute(const Json& orders);
+  void start(const Key& k, std::uint64_t attempt);
+  void fetched(const Key& k, std::uint64_t run);
+  void end(const Key& k, const std::string& cause);
+  void checkLease();
+  void changed();
+  Json body();
+
+  Clock& clock_;
+  Net& net_;
+  Checker& checker_;
+  const Natures& natures_;
+  const cherryloft::Settings& settings_;
+  Machine machine_;
+  std::string address_;
+  double fetch_;
+  cherryloft::Resources size_;
+  unsigned controllers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::uint64_t tenure_ = 1, serial_ = 0, token_ = 0, runs_ = 0;
+  Ms leaseFrom_, lastReport_ = -10'000, hungUntil_ = 0;
+  std::optional<Ms> takenAt_;
+  unsigned target_ = 0;
+  bool reporting_ = false;
+  std::uint64_t timer_ = 0;
+  std::map<Key, Held> tasks_;
+  std::set<std::string> images_;
+};
+
+struct CloudType {
+  std::string name;
+  cherryloft::Resources size;
+  double price = 1, spotPrice = 0.4;
+  Ms boot = 5000;
+  double cacheGb = 50, fetchGbPerS = 1;
+  unsigned capacity = 4, spotCapacity = 2;  // in each zone
+};
+
+class Cloud {
+ public:
+  Cloud(Clock& clock, Net& net, Checker& checker, const Natures& natures, const cherryloft::Settings& settings,
+        std::vector<CloudType> types, unsigned controllers);
+  void addRunning(const std::string& type, const std::string& zone);
+  void outage(Ms until) { outageUntil_ = until; }
+  void noBoot(Ms until) { noBootUntil_ = until; }
+  void noCapacity(Ms until) { noCapacityUntil_ = until; }
+  void die(const std::string& host);
+  void reclaim(const std::string& host, Ms notice);
+  Worker* worker(const std::string& host);
+  // The n-th machine that is up, in order of names; null if there are fewer.
+  Worker* nth(unsigned n);
+  std::size_t held() const;
+  std::size_t rented() const { return rented_; }
+
+ private:
+  struct Rented {
+    Machine machine;
+    Ms since = 0, upAt = -1, failedAt = -1, goneAt = -1;
+    std::unique_ptr<Worker> worker;
+  };
+  void handle(HttpRequest r, Reply reply);
+  HttpResponse rent(const std::string& body);
+  HttpResponse giveBack(const std::string& body);
+  HttpResponse list(const HttpRequest& r);
+  Rented& create(const std::string& type, const std::string& zone, bool spot);
+  void up(const std::string& id);
+  std::string addressOf(const std::string& id) const;
+
+  Clock& clock_;
+  Net& net_;
+  Checker& checker_;
+  const Natures& natures_;
+  const cherryloft::Settings& settings_;
+  std::vector<CloudType> types_;
+  unsigned controllers_;
+  std::map<std::string, Rented> hosts_;
+  std::map<std::string, HttpResponse> claims_;
+  unsigned count_ = 0;
+  std::size_t rented_ = 0;
+  Ms outageUntil_ = 0, noBootUntil_ = 0, noCapacityUntil_ = 0;
+};
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/net.cpp
@@ -0,0 +1,60 @@
+#include "world/net.h"
+
+#include <memory>
+#include <utility>
+
+namespace world {
+
+bool Net::matches(const std::string& pattern, const std::string& name) {
+  if (!pattern.empty() && pattern.back() == '*') return name.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
+  return pattern == name;
+}
+
+void Net::cut(const std::string& a, const std::string& b, Ms until, bool hold) { cuts_.push_back({a, b, until, hold}); }
+
+const Net::Cut* Net::cutBetween(const std::string& x, const std::string& y) const {
+  const Cut* longest = nullptr;
+  for (const auto& c : cuts_) {
+    bool between = (matches(c.a, x) && matches(c.b, y)) || (matches(c.a, y) && matches(c.b, x));
+    if (c.until > clock_.now() && between && (!longest || c.until > longest->until)) longest = &c;
+  }
+  return longest;
+}
+
+std::optional<Ms> Net::arrival(const std::string& from, const std::string& to) {
+  Ms delay = static_cast<Ms>(clock_.uniform(1, 5));
+  const Cut* c = cutBetween(from, to);
+  if (!c) return clock_.now() + delay;
+  if (!c->hold) return std::nullopt;
+  return c->until + delay;
+}
+
+void Net::tell(const std::string& from, const std::string& to, std::function<void()> deliver) {
+  if (auto t = arrival(from, to)) clock_.at(*t, std::move(deliver));
+}
+
+void Net::call(const std::string& from, const std::string& to, HttpRequest r, Ms deadline, HttpDone done) {
+  using Outcome = HttpResult::Outcome;
+  auto settled = std::make_shared<bool>(false);
+  auto sent = std::make_shared<bool>(false);
+  auto settle = [settled, done = std::move(done)](HttpResult result) {
+    if (!std::exchange(*settled, true)) done(std::move(result));
+  };
+  clock_.after(deadline, [settle, sent] { settle({*sent ? Outcome::Unknown : Outcome::NotSent, {}}); });
+  bool lost = losing_.erase({from, to}) > 0;
+  auto t = arrival(from, to);
+  if (!t) return;  // the connection never comes about
+  *sent = true;
+  clock_.at(*t, [this, from, to, r = std::move(r), settle, lost]() mutable {
+    auto h = handlers_.find(to);
+    if (h == handlers_.end()) return settle({Outcome::NotSent, {}});
+    auto handler = h->second;
+    handler(from, std::move(r), [this, from, to, settle, lost](HttpResponse response) {
+      auto back = arrival(to, from);
+      if (lost || !back) return;
+      clock_.at(*back, [settle, response = std::move(response)] { settle({Outcome::Answered, response}); });
+    });
+  });
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/net.h
@@ -0,0 +1,53 @@
+// Requests between parties of the world, with delays, cuts that hold or lose, and answers that get lost.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "net/client.h"
+#include "world/clock.h"
+
+namespace world {
+
+using cherryloft::HttpDone;
+using cherryloft::HttpRequest;
+using cherryloft::HttpResponse;
+using cherryloft::HttpResult;
+using Reply = std::function<void(HttpResponse)>;
+using Handler = std::function<void(const std::string& from, HttpRequest, Reply)>;
+
+class Net {
+ public:
+  explicit Net(Clock& clock) : clock_(clock) {}
+
+  // A party serves under its name; without a handler connections are refused.
+  void serve(const std::string& name, Handler h) { handlers_[name] = std::move(h); }
+  void unserve(const std::string& name) { handlers_.erase(name); }
+  void call(const std::string& from, const std::string& to, HttpRequest r, Ms deadline, HttpDone done);
+  // One-way words between controllers.
+  void tell(const std::string& from, const std::string& to, std::function<void()> deliver);
+
+  // Patterns: a party's name, or a prefix that ends in '*'. A cut is one between any of a and any of b.
+  void cut(const std::string& a, const std::string& b, Ms until, bool hold);
+  // The answer of the next request from a to b is lost, though the request is carried out.
+  void loseAnswer(const std::string& from, const std::string& to) { losing_.insert({from, to}); }
+
+ private:
+  struct Cut {
+    std::string a, b;
+    Ms until;
+    bool hold;
+  };
+  static bool matches(const std::string& pattern, const std::string& name);
+  const Cut* cutBetween(const std::string& x, const std::string& y) const;
+  // When something sent now arrives; nothing if never.
+  std::optional<Ms> arrival(const std::string& from, const std::string& to);
+
+  Clock& clock_;
+  std::map<std::string, Handler> handlers_;
+  std::vector<Cut> cuts_;
+  std::set<std::pair<std::string, std::string>> losing_;
+};
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/scenario.cpp
@@ -0,0 +1,285 @@
+#include "world/scenario.h"
+
+#include <istream>
+#include <sstream>
+#include <stdexcept>
+
+#include "world/world.h"
+
+namespace world {
+namespace {
+
+using Words = std::vector<std::string>;
+
+Words split(const std::string& line) {
+  std::istringstream in(line.substr(0, line.find('#')));
+  Words w;
+  for (std::string s; in >> s;) w.push_back(s);
+  return w;
+}
+
+double number(const std::string& s) {
+  std::size_t end = 0;
+  double v = std::stod(s, &end);
+  if (end != s.size()) throw std::runtime_error("'" + s + "' is not a number");
+  return v;
+}
+Ms ms(const std::string& seconds) { return static_cast<Ms>(number(seconds) * 1000); }
+
+// The words "name=value" and bare flags behind the fixed ones.
+std::map<std::string, std::string> options(const Words& w, std::size_t from) {
+  std::map<std::string, std::string> o;
+  for (auto i = from; i < w.size(); ++i) {
+    auto eq = w[i].find('=');
+    o[w[i].substr(0, eq)] = eq == std::string::npos ? "1" : w[i].substr(eq + 1);
+  }
+  return o;
+}
+
+std::string jobId(const std::string& n) { return "wk-" + std::string(n.size() < 6 ? 6 - n.size() : 0, '0') + n; }
+
+TaskNature natureOf(const Words& w, std::size_t at) {
+  auto o = options(w, at + 1);
+  auto get = [&](const char* k, const char* otherwise) { return o.count(k) ? o[k] : std::string(otherwise); };
+  TaskNature n;
+  auto& s = n.spec;
+  s.id = cherryloft::JobId{jobId(w.at(at))};
+  s.team = cherryloft::TeamId{"team-" + get("team", "0")};
+  auto shape = get("shape", "array"), rank = get("rank", "normal");
+  s.shape = shape == "service" ? cherryloft::Shape::Service
+            : shape == "gang"  ? cherryloft::Shape::Gang
+                               : cherryloft::Shape::Array;
+  s.rank = rank == "prod"     ? cherryloft::Rank::Production
+           : rank == "high"   ? cherryloft::Rank::High
+           : rank == "normal" ? cherryloft::Rank::Normal
+                              : cherryloft::Rank::BestEffort;
+  s.tasks = static_cast<std::uint32_t>(number(get("tasks", "1")));
+  s.each = {number(get("cores", "4")), 0, number(get("ram", "4"))};
+  s.image = cherryloft::ImageId{get("image", "img-1")};
+  s.imageGb = number(get("gb", "0.5"));
+  n.run = ms(get("run", "10"));
+  s.expectS = number(get("expect", get("run", "10").c_str()));
+  n.fails = o.count("fails") > 0;
+  s.lendable = o.count("lendable") > 0;
+  s.spread = o.count("spread") > 0;
+  s.oneZone = o.count("one_zone") > 0;
+  if (o.count("site")) s.zone = cherryloft::Zone{o["site"]};
+  if (o.count("type")) s.types = std::vector<std::string>{o["type"]};
+  return n;
+}
+
+class Scenario {
+ public:
+  void read(std::istream& in) {
+    int lineNo = 0;
+    for (std::string line; std::getline(in, line);) {
+      ++lineNo;
+      auto w = split(line);
+      if (w.empty()) continue;
+      try {
+        if (w[0] == "at" || w[0] == "expect" || w[0] == "up")
+          later_.push_back(w);
+        else
+          setUp(w);
+      } catch (const std::exception& e) {
+        throw std::runtime_error("line " + std::to_string(lineNo) + ": " + e.what());
+      }
+    }
+  }
+
+  std::vector<std::string> run() {
+    world_ = std::make_unique<World>(d_);
+    for (const auto& w : later_) {
+      if (w[0] == "up")
+        for (int i = 0; i < number(w.at(3)); ++i) world_->cloud.addRunning(w.at(1), w.at(2));
+      if (w[0] == "at") world_->clock.at(ms(w.at(1)), [this, w] { event(w); });
+    }
+    world_->run(until_);
+    std::string rule;
+    for (const auto& w : later_)
+      if (w[0] == "expect" && w.at(1) == "broken") rule = w.at(2);
+    bool found = false;
+    for (const auto& b : world_->checker.broken()) {
+      found |= b.rule == rule;
+      if (b.rule != rule)
+        complaints_.push_back("rule " + b.rule + " broken at " + std::to_string(b.at) + " ms: " + b.what);
+    }
+    if (!rule.empty() && !found) complaints_.push_back("the planted violation of " + rule + " was not found");
+    for (const auto& w : later_)
+      if (w[0] == "expect") expect(w);
+    return complaints_;
+  }
+
+ private:
+  void setUp(const Words& w) {
+    auto o = options(w, 1);
+    auto set = [&](const char* k, double& v) {
+      if (o.count(k)) v = number(o[k]);
+    };
+    if (w[0] == "seed") {
+      d_.seed = static_cast<std::uint64_t>(number(w.at(1)));
+    } else if (w[0] == "controllers") {
+      d_.controllers = static_cast<unsigned>(number(w.at(1)));
+    } else if (w[0] == "zones") {
+      d_.zones.assign(w.begin() + 1, w.end());
+    } else if (w[0] == "teams") {
+      d_.teams = static_cast<unsigned>(number(w.at(1)));
+      d_.guaranteed = number(w.at(2));
+      d_.limit = number(w.at(3));
+    } else if (w[0] == "workers") {
+      set("report", d_.reportS), set("lease", d_.leaseS), set("cancel", d_.cancelS);
+    } else if (w[0] == "store") {
+      set("rps", d_.rps), set("writes", d_.writeRps), set("value_kb", d_.valueKb), set("txn", d_.txnOps);
+    } else if (w[0] == "type") {
+      CloudType t;
+      t.name = w.at(1);
+      t.size = {number(w.at(2)), 0, number(w.at(3))};
+      auto more = options(w, 4);
+      auto get = [&](const char* k, double otherwise) { return more.count(k) ? number(more[k]) : otherwise; };
+      t.price = get("price", 1), t.spotPrice = get("spot", 0.45);
+      t.boot = static_cast<Ms>(1000 * get("boot", 5));
+      t.capacity = static_cast<unsigned>(get("cap", 4)), t.spotCapacity = static_cast<unsigned>(get("spotcap", 2));
+      t.cacheGb = get("cache", 50), t.fetchGbPerS = get("fetch", 1);
+      d_.types.push_back(t);
+    } else if (w[0] == "until") {
+      until_ = ms(w.at(1));
+    } else {
+      throw std::runtime_error("unknown word '" + w[0] + "'");
+    }
+  }
+
+  // A machine by "host-…" or by its place among those that are up.
+  std::string hostOf(const std::string& word) {
+    if (word.compare(0, 5, "host-") == 0) return word;
+    auto* worker = world_->cloud.nth(static_cast<unsigned>(number(word)));
+    return worker ? worker->machine().id : "";
+  }
+  // "on:1" is the machine on which job 1 has a task.
+  std::string machineOf(const std::string& word) {
+    if (word.compare(0, 3, "on:") != 0) return hostOf(word);
+    auto on = world_->checker.machinesOf(jobId(word.substr(3)));
+    return on.empty() ? "" : *on.begin();
+  }
+
+  void event(const Words& w) {
+    auto& x = *world_;
+    const auto& verb = w.at(2);
+    Ms now = x.clock.now();
+    if (verb == "submit") {
+      auto n = natureOf(w, 3);
+      x.submit(n.spec.id.value, n);
+    } else if (verb == "burst") {
+      // burst FIRST COUNT options…
+      auto first = static_cast<unsigned>(number(w.at(3)));
+      for (unsigned i = 0; i < number(w.at(4)); ++i) {
+        Words one = w;
+        one[4] = std::to_string(first + i);
+        auto n = natureOf(one, 4);
+        x.submit(n.spec.id.value, n);
+      }
+    } else if (verb == "withdraw") {
+      x.withdraw(jobId(w.at(3)));
+    } else if (verb == "ask") {
+      x.askUnknown(jobId(w.at(3)));
+    } else if (verb == "resubmit-broken") {
+      x.resubmitBroken(jobId(w.at(3)));
+    } else if (verb == "crash") {
+      for (unsigned n = 0; n < x.controllers.size(); ++n)
+        if (w.at(3) == "*" || n == number(w.at(3))) x.controllers[n]->crash(ms(w.at(4)));
+    } else if (verb == "cut") {
+      auto from = partyOf(w.at(3)), to = partyOf(w.at(4));
+      x.net.cut(from, to, now + ms(w.at(5)), w.at(6) == "hold");
+    } else if (verb == "outage") {
+      (w.at(3) == "store") ? x.store.outage(now + ms(w.at(4))) : x.cloud.outage(now + ms(w.at(4)));
+    } else if (verb == "refuse") {
+      x.store.refuse(w.at(3), now + ms(w.at(4)));
+    } else if (verb == "lose") {
+      x.net.loseAnswer(w.at(3), partyOf(w.at(4)));
+    } else if (verb == "die") {
+      if (auto h = machineOf(w.at(3)); !h.empty()) x.cloud.die(h);
+    } else if (verb == "hang") {
+      if (auto* worker = x.cloud.worker(machineOf(w.at(3)))) worker->hang(now + ms(w.at(4)));
+    } else if (verb == "reclaim") {
+      if (auto h = machineOf(w.at(3)); !h.empty()) x.cloud.reclaim(h, ms(w.at(4)));
+    } else if (verb == "noboot") {
+      x.cloud.noBoot(now + ms(w.at(3)));
+    } else if (verb == "nocapacity") {
+      x.cloud.noCapacity(now + ms(w.at(3)));
+    } else if (verb == "plant-start") {
+      if (auto* worker = x.cloud.worker(machineOf(w.at(4)))) worker->plant(jobId(w.at(3)), 0);
+    } else if (verb == "plant-told") {
+      x.checker.told(jobId(w.at(3)), w.at(4));
+    } else {
+      throw std::runtime_error("unknown event '" + verb + "'");
+    }
+  }
+  // In cuts, parties other than machines are named as they are.
+  std::string partyOf(const std::string& word) {
+    return word.compare(0, 3, "on:") == 0 || std::isdigit(static_cast<unsigned char>(word[0])) ? machineOf(word) : word;
+  }
+
+  void expect(const Words& w) {
+    auto& x = *world_;
+    const auto& what = w.at(1);
+    auto complain = [&](const std::string& why) {
+      std::string line;
+      for (const auto& s : w) line += s + " ";
+      complaints_.push_back(line + "- but " + why);
+    };
+    auto compare = [&](double is, const std::string& op, double than) {
+      bool ok = op == "==" ? is == than : op == "<=" ? is <= than : op == ">=" ? is >= than : false;
+      if (!ok) complain("it is " + std::to_string(is));
+    };
+    if (what == "broken") return;
+    if (what == "done" || what == "aborted") {
+      // expect done 1 [to 5] by 100
+      auto first = static_cast<unsigned>(number(w.at(2))), last = first;
+      std::size_t at = 3;
+      if (w.size() > at && w[at] == "to") last = static_cast<unsigned>(number(w.at(at + 1))), at += 2;
+      double by = w.size() > at && w[at] == "by" ? number(w.at(at + 1)) : 1e9;
+      for (auto n = first; n <= last; ++n) {
+        const auto& t = x.trace(jobId(std::to_string(n)));
+        auto end = what == "aborted" && t.cancelledAt >= 0 ? t.cancelledAt : t.finalAt;
+        if (t.status != what || end < 0 || static_cast<double>(end) / 1000 > by)
+          complain("job " + std::to_string(n) + " is " + (t.status.empty() ? "unheard of" : t.status) + ", at " +
+                   std::to_string(end) + " ms");
+      }
+    } else if (what == "accepted") {
+      const auto& t = x.trace(jobId(w.at(2)));
+      if (t.acceptedAt < 0 || static_cast<double>(t.acceptedAt) / 1000 > number(w.at(4)))
+        complain("accepted at " + std::to_string(t.acceptedAt) + " ms");
+    } else if (what == "refused") {
+      compare(x.trace(jobId(w.at(2))).refused, "==", number(w.at(3)));
+    } else if (what == "on") {  // machines with a task of the job now
+      compare(static_cast<double>(x.checker.machinesOf(jobId(w.at(2))).size()), w.at(3), number(w.at(4)));
+    } else if (what == "starts") {
+      compare(x.checker.startsOf(jobId(w.at(2))), w.at(3), number(w.at(4)));
+    } else if (what == "machines") {
+      compare(static_cast<double>(x.cloud.held()), w.at(2), number(w.at(3)));
+    } else if (what == "rented") {
+      compare(static_cast<double>(x.cloud.rented()), w.at(2), number(w.at(3)));
+    } else if (what == "writes") {
+      compare(static_cast<double>(x.store.writes()), w.at(2), number(w.at(3)));
+    } else if (what == "largest-value") {
+      compare(static_cast<double>(x.store.largestValue()), w.at(2), number(w.at(3)));
+    } else {
+      throw std::runtime_error("unknown expectation '" + what + "'");
+    }
+  }
+
+  Deployment d_;
+  Ms until_ = 60'000;
+  std::vector<Words> later_;
+  std::unique_ptr<World> world_;
+  std::vector<std::string> complaints_;
+};
+
+}  // namespace
+
+std::vector<std::string> runScenario(std::istream& in) {
+  Scenario s;
+  s.read(in);
+  return s.run();
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/store.h
@@ -0,0 +1,68 @@
+// Stand-in for the state service.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "world/net.h"
+
+namespace world {
+
+class Store {
+ public:
+  Store(Clock& clock, Net& net, unsigned txnOps, std::size_t valueBytes);
+  void outage(Ms until);
+  void refuse(const std::string& who, Ms until) { refused_[who] = until; }
+  std::size_t keys() const { return data_.size(); }
+  std::uint64_t writes() const { return writes_; }
+  std::size_t largestValue() const { return largestValue_; }
+
+ private:
+  using Json = nlohmann::json;
+  struct Entry {
+    Json value;
+    std::uint64_t stamp = 0;
+    std::uint64_t hold = 0;
+  };
+  struct Change {
+    std::uint64_t rev;
+    std::string key;
+    std::optional<Json> value;
+  };
+  struct Hold {
+    Ms ttl, ends;
+  };
+  struct Watch {
+    std::string from, prefix;
+    std::uint64_t since;
+    Reply reply;
+    bool over = false;
+  };
+  void handle(const std::string& from, HttpRequest r, Reply reply);
+  HttpResponse txn(const std::string& body);
+  HttpResponse holds(const HttpRequest& r);
+  HttpResponse list(const std::map<std::string, std::string>& q) const;
+  void follow(const std::string& from, const std::map<std::string, std::string>& q, Reply reply);
+  bool news(Watch& w, bool evenEmpty);
+  void wakeWatches();
+  void expire();
+  void put(const std::string& key, std::optional<Json> value, std::uint64_t hold);
+  bool down(const std::string& who) const;
+
+  Clock& clock_;
+  unsigned txnOps_;
+  std::size_t valueBytes_;
+  std::map<std::string, Entry> data_;
+  std::vector<Change> log_;
+  std::map<std::uint64_t, Hold> holds_;
+  std::uint64_t rev_ = 0, holdCount_ = 0, writes_ = 0;
+  std::size_t largestValue_ = 0;
+  Ms outageUntil_ = -1;
+  std::map<std::string, Ms> refused_;
+  std::vector<std::shared_ptr<Watch>> watches_;
+};
+
+// "a=1&b=2" behind the question mark.
+std::map<std::string, std::string> queryOf(const std::string& target);
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/worker.cpp
@@ -0,0 +1,208 @@
+#include "world/cloud.h"
+
+namespace world {
+namespace {
+std::string nameOf(const std::pair<std::string, std::uint32_t>& k) { return k.first + "/" + std::to_string(k.second); }
+}  // namespace
+
+Worker::Worker(Clock& clock, Net& net, Checker& checker, const Natures& natures,
+               const cherryloft::Settings& settings, Machine machine, std::string address, double fetchGbPerS,
+               cherryloft::Resources size, unsigned controllers)
+    : clock_(clock),
+      net_(net),
+      checker_(checker),
+      natures_(natures),
+      settings_(settings),
+      machine_(std::move(machine)),
+      address_(std::move(address)),
+      fetch_(fetchGbPerS),
+      size_(size),
+      controllers_(controllers),
+      leaseFrom_(clock.now()),
+      target_(static_cast<unsigned>(clock.rng() % controllers)) {
+  net_.serve(machine_.id, [this](const std::string&, HttpRequest r, Reply reply) {
+    awake([this, r = std::move(r), reply = std::move(reply)] { handle(r, reply); });
+  });
+  schedule(static_cast<Ms>(clock_.uniform(50, 1000)));
+  checkLease();
+}
+
+void Worker::die() {
+  if (!alive_) return;
+  alive_.reset();
+  net_.unserve(machine_.id);
+  for (auto& [k, h] : tasks_)
+    if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
+  tasks_.clear();
+}
+
+// A hanging machine does nothing until it resumes.
+void Worker::awake(std::function<void()> f) {
+  if (clock_.now() < hungUntil_)
+    later(hungUntil_ - clock_.now(), std::move(f));
+  else
+    f();
+}
+
+void Worker::schedule(Ms d) {
+  later(d, [this, mine = ++timer_] {
+    if (mine == timer_) awake([this] { report(); });
+  });
+}
+
+void Worker::changed() {
+  if (!reporting_) schedule(std::max<Ms>(0, lastReport_ + 500 - clock_.now()));
+}
+
+Worker::Json Worker::body() {
+  Json list = Json::array();
+  for (const auto& [k, h] : tasks_) {
+    Json e{{"piece", nameOf(k)}, {"try", h.attempt}, {"status", h.state}};
+    if (h.state == "ended") e["exit_cause"] = h.cause;
+    list.push_back(std::move(e));
+  }
+  Json j{{"host", machine_.id}, {"addr", address_},   {"flavour", machine_.type}, {"site", machine_.zone},
+         {"lendable", machine_.spot}, {"tenure", tenure_}, {"serial", ++serial_}, {"epoch", token_},
+         {"pieces", std::move(list)}};
+  if (takenAt_) j["reclaim_in_s"] = static_cast<double>(*takenAt_ - clock_.now()) / 1000.0;
+  return j;
+}
+
+void Worker::report() {
+  if (reporting_) return;
+  reporting_ = true;
+  lastReport_ = clock_.now();
+  HttpRequest r{"POST", "/checkin", body().dump(), false};
+  net_.call(machine_.id, "node" + std::to_string(target_), std::move(r), 4000,
+            [this, sent = clock_.now(), tenure = tenure_, alive = std::weak_ptr<bool>(alive_)](HttpResult h) {
+              if (!alive.lock()) return;
+              awake([this, sent, tenure, h] {
+                reporting_ = false;
+                answered(sent, tenure, h);
+              });
+            });
+}
+
+void Worker::answered(Ms sentAt, std::uint64_t tenure, const HttpResult& r) {
+  auto next = [this] {
+    target_ = (target_ + 1) % controllers_;
+    schedule(1000);
+  };
+  if (r.outcome != HttpResult::Outcome::Answered) return next();
+  if (r.response.status == 421) {
+    auto doc = Json::parse(r.response.body, nullptr, false);
+    auto owner = doc.is_object() ? doc.value("steward", std::string()) : "";
+    for (unsigned i = 0; i < controllers_; ++i)
+      if (owner == settings_.nodes[i].value && i != target_) {
+        target_ = i;
+        return schedule(static_cast<Ms>(clock_.uniform(0, 500)));
+      }
+    return next();
+  }
+  if (r.response.status != 200 || clock_.now() - sentAt > 4000) return next();
+  auto doc = Json::parse(r.response.body);
+  schedule(static_cast<Ms>(settings_.reportS * 1000 * clock_.uniform(0.75, 1.25)));
+  auto token = doc.value("epoch", std::uint64_t{0});
+  if (tenure != tenure_ || token < token_) return;  // dropped: renews nothing
+  bool higher = token > token_;
+  token_ = token;
+  leaseFrom_ = sentAt;
+  execute(doc["orders"]);
+  if (higher) changed();
+}
+
+void Worker::handle(HttpRequest r, Reply reply) {
+  if (r.target == "/show") return reply({200, body().dump(), false, 0});
+  auto doc = Json::parse(r.body);
+  if (!doc.contains("epoch") || !doc.contains("tenure")) return reply({400, "{}", false, 0});
+  if (doc["epoch"].get<std::uint64_t>() < token_ || doc["tenure"].get<std::uint64_t>() != tenure_)
+    return reply({409, body().dump(), false, 0});
+  bool higher = doc["epoch"].get<std::uint64_t>() > token_;
+  token_ = doc["epoch"].get<std::uint64_t>();
+  execute(doc["orders"]);
+  reply({200, body().dump(), false, 0});
+  if (higher) changed();
+}
+
+void Worker::execute(const Json& orders) {
+  for (const auto& o : orders) {
+    auto name = o["piece"].get<std::string>();
+    auto slash = name.rfind('/');
+    Key k{name.substr(0, slash), static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1)))};
+    auto attempt = o["try"].get<std::uint64_t>();
+    auto it = tasks_.find(k);
+    bool same = it != tasks_.end() && it->second.attempt == attempt;
+    auto verb = o["verb"].get<std::string>();
+    if (verb == "start" && !same) start(k, attempt);
+    if (verb == "kill" && same && it->second.state != "ended") end(k, "halted");
+    if (verb == "forget" && same && it->second.state == "ended") tasks_.erase(it);
+  }
+}
+
+void Worker::start(const Key& k, std::uint64_t attempt) {
+  auto nature = natures_.find(k.first);
+  auto it = tasks_.find(k);
+  Held h;
+  h.attempt = attempt;
+  h.run = ++runs_;
+  if (it != tasks_.end() && it->second.state != "ended") {
+    // Held with another attempt: the refusal can't be shown beside it here, so it just does nothing.
+    return;
+  }
+  cherryloft::Resources used;
+  for (const auto& [other, held] : tasks_)
+    if (held.state != "ended") used += natures_.at(other.first).spec.each;
+  h.state = "fetching";
+  if (nature == natures_.end()) h.state = "ended", h.cause = "unknown";
+  else if (!(used + nature->second.spec.each).fitsIn(size_)) h.state = "ended", h.cause = "no_room";
+  tasks_[k] = h;
+  changed();
+  if (h.state == "ended") return;
+  const auto& spec = nature->second.spec;
+  Ms fetch = images_.count(spec.image.value) ? 10 : static_cast<Ms>(1000 * spec.imageGb / fetch_) + 10;
+  later(fetch, [this, k, run = h.run] { awake([this, k, run] { fetched(k, run); }); });
+}
+
+void Worker::fetched(const Key& k, std::uint64_t run) {
+  auto it = tasks_.find(k);
+  if (it == tasks_.end() || it->second.run != run || it->second.state != "fetching") return;
+  const auto& nature = natures_.at(k.first);
+  images_.insert(nature.spec.image.value);
+  it->second.state = "running";
+  it->second.onMachine = true;
+  checker_.started(machine_, k.first, k.second);
+  changed();
+  if (nature.spec.shape == cherryloft::Shape::Service) return;
+  Ms lasts = nature.fails ? 500 : nature.run;
+  later(lasts, [this, k, run, fails = nature.fails] {
+    awake([this, k, run, fails] {
+      auto held = tasks_.find(k);
+      if (held != tasks_.end() && held->second.run == run && held->second.state == "running")
+        end(k, fails ? "error" : "done");
+    });
+  });
+}
+
+void Worker::end(const Key& k, const std::string& cause) {
+  auto& h = tasks_.at(k);
+  if (h.onMachine) checker_.left(machine_.id, k.first, k.second, cause == "done");
+  h.onMachine = false;
+  h.state = "ended";
+  h.cause = cause;
+  changed();
+}
+
+void Worker::plant(const std::string& job, std::uint32_t index) { checker_.started(machine_, job, index); }
+
+void Worker::checkLease() {
+  later(100, [this] { checkLease(); });
+  if (clock_.now() < hungUntil_) return;
+  if (clock_.now() - leaseFrom_ <= static_cast<Ms>(settings_.leaseS * 1000)) return;
+  for (auto& [k, h] : tasks_)
+    if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
+  tasks_.clear();
+  ++tenure_;
+  leaseFrom_ = clock_.now();
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/world.cpp
@@ -0,0 +1,246 @@
+#include "world/world.h"
+
+namespace world {
+namespace {
+using cherryloft::mesh::Frame;
+using Json = nlohmann::json;
+
+std::string nodeName(unsigned n) { return "node" + std::to_string(n); }
+
+std::string partyOf(const cherryloft::Address& a) {
+  if (a.ip == "10.2.0.1") return "store";
+  if (a.ip == "10.2.0.2") return "cloud";
+  auto last = a.ip.rfind('.');
+  auto third = a.ip.rfind('.', last - 1);
+  unsigned n = static_cast<unsigned>(std::stoul(a.ip.substr(third + 1)) * 100 + std::stoul(a.ip.substr(last + 1)) - 1);
+  char id[32];
+  std::snprintf(id, sizeof id, "host-%06u", n);
+  return id;
+}
+}  // namespace
+
+std::string Deployment::settingsOf(unsigned node) const {
+  auto name = [](unsigned n) { return "loft-" + std::to_string(n); };
+  auto address = [](unsigned n, int port) { return "10.0.0." + std::to_string(n + 1) + ":" + std::to_string(port); };
+  Json siblings = Json::array(), teamList = Json::array();
+  for (unsigned n = 0; n < controllers; ++n)
+    if (n != node) siblings.push_back({{"node", name(n)}, {"location", zones[n % zones.size()]}, {"address", address(n, 81)}});
+  for (unsigned t = 0; t < teams; ++t)
+    teamList.push_back({{"name", "team-" + std::to_string(t)}, {"cpus", guaranteed}, {"cpus_max", limit}, {"gpus", 0}, {"gpus_max", 0}});
+  return Json{
+      {"node", name(node)},
+      {"location", zones[node % zones.size()]},
+      {"front", address(node, 80)},
+      {"mesh_addr", address(node, 81)},
+      {"siblings", siblings},
+      {"endpoints", {{"cloud", "10.2.0.2:443"}, {"state", "10.2.0.1:2379"}}},
+      {"deployment",
+       {{"zones", zones},
+        {"teams", teamList},
+        {"workers", {{"report_s", reportS}, {"lease_s", leaseS}, {"cancel_s", cancelS}}},
+        {"state", {{"rps", rps}, {"write_rps", writeRps}, {"value_kb", valueKb}, {"txn_ops", txnOps}}},
+        {"cloud", {{"rps", 5}, {"list_lag_s", 5}}},
+        {"machine_limits", {{"fd_limit", 3500}}},
+        {"clock_error_ms", 250}}}}
+      .dump();
+}
+
+// The world's answers to one life of a controller; nothing reaches it after its end.
+class Controller::SimIo : public cherryloft::Io {
+ public:
+  SimIo(Controller& c, double rate, Ms wallError) : c_(c), rate_(rate), wallError_(wallError) {}
+  cherryloft::Time now() const override {
+    return cherryloft::Time{cherryloft::Duration{static_cast<Ms>(static_cast<double>(c_.clock_.now()) * rate_) + 5000}};
+  }
+  cherryloft::WallTime wall() const override { return {1'700'000'000'000 + c_.clock_.now() + wallError_}; }
+  void after(cherryloft::Duration d, std::function<void()> f) override {
+    c_.clock_.after(std::max<Ms>(0, static_cast<Ms>(static_cast<double>(d.count()) / rate_)), living(std::move(f)));
+  }
+  void call(const cherryloft::Address& to, HttpRequest r, cherryloft::Duration deadline, HttpDone done) override {
+    c_.net_.call(nodeName(c_.number_), partyOf(to), std::move(r), deadline.count(),
+                 [done = std::move(done), alive = std::weak_ptr<bool>(alive_)](HttpResult h) {
+                   if (alive.lock()) done(std::move(h));
+                 });
+  }
+  void mesh(std::uint32_t to, const Frame& f) override { c_.mesh_(to, f, c_.number_); }
+  void remesh(std::uint32_t) override {}
+
+ private:
+  std::function<void()> living(std::function<void()> f) {
+    return [f = std::move(f), alive = std::weak_ptr<bool>(alive_)] {
+      if (alive.lock()) f();
+    };
+  }
+  Controller& c_;
+  double rate_;
+  Ms wallError_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+Controller::Controller(Clock& clock, Net& net, const Deployment& d, unsigned number,
+                       std::function<void(std::uint32_t, const Frame&, unsigned)> mesh)
+    : clock_(clock),
+      net_(net),
+      number_(number),
+      drift_(d.drift),
+      mesh_(std::move(mesh)),
+      settings_(cherryloft::parseSettings(d.settingsOf(number), {})) {}
+
+Controller::~Controller() = default;
+
+void Controller::start() {
+  double rate = 1.0 + clock_.uniform(-drift_, drift_);
+  io_ = std::make_unique<SimIo>(*this, rate, static_cast<Ms>(clock_.uniform(-200, 200)));
+  node_ = std::make_unique<cherryloft::Node>(settings_, *io_, cherryloft::silentLog(), clock_.rng());
+  ++lives_;
+  net_.serve(nodeName(number_), [this, life = lives_](const std::string&, HttpRequest r, Reply reply) {
+    if (!node_ || life != lives_) return;
+    auto answered = std::make_shared<bool>(false);
+    node_->request(std::move(r), [answered, reply = std::move(reply)](HttpResponse h) {
+      if (!std::exchange(*answered, true)) reply(std::move(h));
+    });
+  });
+  node_->start();
+}
+
+void Controller::crash(Ms backAfter) {
+  node_.reset();
+  io_.reset();
+  net_.unserve(nodeName(number_));
+  clock_.after(backAfter, [this] {
+    if (!node_) start();
+  });
+}
+
+void Controller::frame(const Frame& f) {
+  // Through the codec, as on the wire.
+  auto decoded = cherryloft::mesh::decode(cherryloft::mesh::encode(f));
+  if (node_ && decoded) node_->frame(*decoded);
+}
+
+World::World(const Deployment& d)
+    : deployment(d),
+      clock(d.seed),
+      net(clock),
+      settings(cherryloft::parseSettings(d.settingsOf(0), {})),
+      checker(clock, settings),
+      store(clock, net, static_cast<unsigned>(d.txnOps), static_cast<std::size_t>(d.valueKb * 1024)),
+      cloud(clock, net, checker, natures, settings, d.types, d.controllers) {
+  for (unsigned n = 0; n < d.controllers; ++n) {
+    controllers.push_back(std::make_unique<Controller>(
+        clock, net, deployment, n, [this](std::uint32_t to, const Frame& f, unsigned from) {
+          net.tell(nodeName(from), nodeName(to), [this, to, f] { controllers[to]->frame(f); });
+        }));
+  }
+  for (auto& c : controllers) c->start();
+  review();
+}
+
+void World::review() {
+  clock.after(250, [this] { review(); });
+  checker.review();
+}
+
+std::string World::bodyOf(const TaskNature& n) {
+  const auto& s = n.spec;
+  const char* ranks[] = {"best_effort", "normal", "high", "prod"};
+  const char* shapes[] = {"sweep", "service", "ensemble"};
+  Json j{{"name_id", s.id.value}, {"jobclass", "c"}, {"owner", s.team.value},
+         {"shape", shapes[static_cast<int>(s.shape)]}, {"rank", ranks[static_cast<int>(s.rank)]},
+         {"pieces", s.tasks}, {"cores", s.each.cores}, {"gpus", s.each.gpus}, {"ram_gb", s.each.ram},
+         {"bundle", s.image.value}, {"image_gb", s.imageGb}, {"flavours", nullptr}, {"site", nullptr},
+         {"one_zone", s.oneZone}, {"spread", s.spread}, {"lendable", s.lendable}, {"expect_s", s.expectS},
+         {"snapshot_every_s", 0.0}, {"snapshot_s", 0.0}, {"due_s", nullptr}, {"a_field_to_come", 1}};
+  if (s.types) j["flavours"] = *s.types;
+  if (s.zone) j["site"] = s.zone->value;
+  return j.dump();
+}
+
+void World::request(HttpRequest r, Ms deadline, HttpDone done) {
+  auto n = static_cast<unsigned>(clock.rng() % controllers.size());
+  net.call("user", nodeName(n), std::move(r), deadline, std::move(done));
+}
+
+void World::submit(const std::string& id, const TaskNature& nature) {
+  natures[id] = nature;
+  checker.submitted(nature.spec);
+  traces[id].id = id;
+  trySubmit(id, bodyOf(nature));
+}
+
+void World::trySubmit(const std::string& id, std::string body) {
+  HttpRequest r{"POST", "/v1/jobs", body, false};
+  request(std::move(r), 5000, [this, id, body](HttpResult h) {
+    auto& t = traces[id];
+    bool answered = h.outcome == HttpResult::Outcome::Answered;
+    int status = answered ? h.response.status : 0;
+    if (status == 200 || status == 201) {
+      checker.accepted(id);
+      checker.told(id, Json::parse(h.response.body)["status"].get<std::string>());
+      if (t.acceptedAt < 0) {
+        t.acceptedAt = clock.now();
+        clock.after(1000, [this, id] { poll(id); });
+      }
+      return;
+    }
+    if (status == 400 || status == 422) {
+      t.refused = status;
+      checker.refusedRetry(id, status);
+      return;
+    }
+    clock.after(1000, [this, id, body] { trySubmit(id, body); });
+  });
+}
+
+void World::poll(const std::string& id) {
+  request({"GET", "/v1/jobs/" + id, "", false}, 2000, [this, id](HttpResult h) {
+    auto& t = traces[id];
+    if (h.answered(200)) {
+      auto status = Json::parse(h.response.body)["status"].get<std::string>();
+      checker.told(id, status);
+      t.status = status;
+      if ((status == "done" || status == "aborted") && t.finalAt < 0) t.finalAt = clock.now();
+    } else if (h.answered(404)) {
+      checker.asked404(id);
+    }
+    clock.after(t.finalAt >= 0 ? 7000 : 2000, [this, id] { poll(id); });
+  });
+}
+
+void World::withdraw(const std::string& id) {
+  checker.cancelAsked(id);
+  tryWithdraw(id);
+}
+
+void World::tryWithdraw(const std::string& id) {
+  request({"POST", "/v1/jobs/" + id + "/withdraw", "", false}, 5000, [this, id](HttpResult h) {
+    if (h.answered(200)) {
+      auto status = Json::parse(h.response.body)["status"].get<std::string>();
+      checker.told(id, status);
+      traces[id].cancelledAt = clock.now();
+      traces[id].status = status;
+      return;
+    }
+    if (h.answered(404)) return checker.asked404(id);
+    clock.after(1000, [this, id] { tryWithdraw(id); });
+  });
+}
+
+void World::askUnknown(const std::string& id) {
+  request({"GET", "/v1/jobs/" + id, "", false}, 2000, [this, id](HttpResult h) {
+    if (h.answered(200)) checker.told(id, "pending");
+    traces[id].refused = h.outcome == HttpResult::Outcome::Answered ? h.response.status : 0;
+  });
+}
+
+// A retry whose body would be refused now, of a job that was accepted.
+void World::resubmitBroken(const std::string& id) {
+  HttpRequest r{"POST", "/v1/jobs", Json{{"name_id", id}, {"pieces", 0}}.dump(), false};
+  request(std::move(r), 5000, [this, id](HttpResult h) {
+    if (h.outcome != HttpResult::Outcome::Answered) return;
+    if (h.response.status == 400 || h.response.status == 422) checker.refusedRetry(id, h.response.status);
+    if (h.response.status == 200) checker.told(id, Json::parse(h.response.body)["status"].get<std::string>());
+  });
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/world.h
@@ -0,0 +1,90 @@
+// A whole deployment in virtual time: controllers of this repository, everything else stand-ins.
+#pragma once
+
+#include <memory>
+
+#include "actors/node.h"
+#include "world/cloud.h"
+#include "world/store.h"
+
+namespace world {
+
+struct Deployment {
+  std::uint64_t seed = 1;
+  unsigned controllers = 3;
+  std::vector<std::string> zones{"a", "b"};
+  unsigned teams = 3;
+  double guaranteed = 24, limit = 88;
+  double reportS = 3, leaseS = 36, cancelS = 61;
+  double rps = 200, writeRps = 80, valueKb = 16, txnOps = 24;
+  double drift = 0.0005;
+  std::vector<CloudType> types;
+  std::string settingsOf(unsigned node) const;
+};
+
+// One controller process; crashes lose everything in it.
+class Controller {
+ public:
+  Controller(Clock& clock, Net& net, const Deployment& d, unsigned number,
+             std::function<void(std::uint32_t, const cherryloft::mesh::Frame&, unsigned)> mesh);
+  ~Controller();
+  void start();
+  void crash(Ms backAfter);
+  void frame(const cherryloft::mesh::Frame& f);
+  bool running() const { return node_ != nullptr; }
+
+ private:
+  class SimIo;
+  Clock& clock_;
+  Net& net_;
+  unsigned number_;
+  double drift_;
+  std::function<void(std::uint32_t, const cherryloft::mesh::Frame&, unsigned)> mesh_;
+  cherryloft::Settings settings_;
+  std::unique_ptr<SimIo> io_;
+  std::unique_ptr<cherryloft::Node> node_;
+  std::uint64_t lives_ = 0;
+};
+
+class World {
+ public:
+  explicit World(const Deployment& d);
+  void run(Ms until) { clock.run(until); }
+
+  struct JobTrace {
+    std::string id;
+    Ms acceptedAt = -1;
+    int refused = 0;
+    std::string status;
+    Ms finalAt = -1;
+    Ms cancelledAt = -1;
+  };
+  // A user who submits and retries, then polls until the end and now and then after it.
+  void submit(const std::string& id, const TaskNature& nature);
+  // The body a user would send for it.
+  static std::string bodyOf(const TaskNature& nature);
+  void withdraw(const std::string& id);
+  void askUnknown(const std::string& id);
+  void resubmitBroken(const std::string& id);
+  JobTrace& trace(const std::string& id) { return traces[id]; }
+
+  Deployment deployment;
+  Clock clock;
+  Net net;
+  cherryloft::Settings settings;
+  Checker checker;
+  Natures natures;
+  Store store;
+  Cloud cloud;
+  std::vector<std::unique_ptr<Controller>> controllers;
+  std::map<std::string, JobTrace> traces;
+
+ private:
+  void request(HttpRequest r, Ms deadline, HttpDone done);
+  void trySubmit(const std::string& id, std::string body);
+  void poll(const std::string& id);
+  void tryWithdraw(const std::string& id);
+  void review();
+};
+
+}  // namespace world
