--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -315,6 +315,13 @@
 
 void Fleet::planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t) {
   auto now = io_.now();
+  if (log_->should_log(spdlog::level::debug)) {
+    double ordinary = 0, spot = 0;
+    for (const auto& h : f.hosts)
+      if (h.counts) (h.spot ? spot : ordinary) += h.cores;
+    log_->debug("share {}: firm {}+{} lendable {}+{} wants {} of {}, has {}+{} spot", k.value, f.firm.used,
+                f.firm.waiting, f.lendable.used, f.lendable.waiting, t.ordinary, t.total, ordinary, spot);
+  }
   bool busy = std::any_of(rentals_.begin(), rentals_.end(), [&](const auto& r) { return r->share == k; });
   auto wish = policy::rent(f, t, prices_, unavailable());
   if (wish && !busy && calls_ >= 1) {
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -12,6 +12,13 @@
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
 constexpr double kServiceLoss = 600;          // seconds of work that moving a replica counts as
 
+double replicaCores(const Host& h) {
+  double cores = 0;
+  for (const auto& [_, p] : h.placements)
+    if (p.job->spec->shape == Shape::Service) cores += p.job->spec->each.cores;
+  return cores;
+}
+
 }  // namespace
 
 // Asks for a round. Machines in `at` reported; `everywhere` counts as a report of every machine with room.
@@ -169,8 +176,10 @@
       auto za = zones.count(a->zone()) ? zones.at(a->zone()) : 0,
            zb = zones.count(b->zone()) ? zones.at(b->zone()) : 0;
       if (za != zb) return za < zb;
-      // Spread over machines, so that the loss of one is small.
-      if (std::abs(a->used.cores - b->used.cores) > 1e-9) return a->used.cores < b->used.cores;
+      // Together on few machines, small ones first, so that the others can go when the rest is done.
+      auto ra = replicaCores(*a), rb = replicaCores(*b);
+      if (std::abs(ra - rb) > 1e-9) return ra > rb;
+      if (std::abs(a->size.cores - b->size.cores) > 1e-9) return a->size.cores < b->size.cores;
       return a->id < b->id;
     }
     if (std::abs(a->free().cores - b->free().cores) > 1e-9) return a->free().cores < b->free().cores;
