--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -95,7 +95,8 @@
   std::vector<wire::ReportedTask> reported;
   std::optional<Time> reclaimAt;
 
-  bool leaving = false;  // takes no more work: to be given up
+  bool emptying = false;  // takes no more work, and goes when it is empty unless room gets short
+  bool leaving = false;   // takes no more work: to be given up
   bool recordBusy = false;
   std::optional<std::int32_t> giveTo;  // share, or -1 for the cloud
   std::set<JobId> failedJobs;
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -15,6 +15,7 @@
 constexpr double kNeverUpPlusS = 20;
 constexpr double kLateBoot = 2.0;  // boot times after which it is no longer counted on
 constexpr double kMinIdleS = 10;
+constexpr double kMinAgeS = 60;       // what the cloud charges at least
 constexpr double kSettleS = 5;  // a new leader looks before it acts
 constexpr std::size_t kMostReturns = 100;
 }  // namespace
@@ -229,12 +230,6 @@
 
 // --- sizing ---
 
-double Fleet::bootS() const {
-  double sum = 0;
-  for (const auto& t : prices_) sum += t.bootS;
-  return prices_.empty() ? 30 : sum / static_cast<double>(prices_.size());
-}
-
 policy::ShareFleet Fleet::fleetOf(ShareNo k) const {
   auto work = [](const mesh::Demand& d) {
     policy::Work w{d.used, d.waiting, d.arriving, d.largestTask, d.ramPerCore, d.types, {}};
@@ -258,10 +253,17 @@
     auto it = shown.find(id.value);
     double age = static_cast<double>(wall.value - r.since.value) / 1000.0;
     bool boots = type && age < kLateBoot * type->bootS + 5;
-    if (it == shown.end() || !it->second->usable) {
+    if (it != shown.end()) {
+      h.emptying = it->second->emptying;
+      h.ageS = it->second->ageS;
+    }
+    if (it != shown.end() && h.emptying) {
+      h.counts = false;
+    } else if (it == shown.end() || !it->second->usable) {
       h.counts = boots && (it == shown.end() || !it->second->draining);
     } else {
       h.counts = !it->second->draining;
+      h.usedCores = h.cores - it->second->freeCores;
       h.idleS = it->second->idleS > 0 ? it->second->idleS : -1;
     }
     f.hosts.push_back(h);
@@ -304,7 +306,7 @@
     auto s = loads_.find(ShareNo{k});
     if (s == loads_.end() || now - s->second.at > kLoadStale) continue;
     fleets[ShareNo{k}] = fleetOf(ShareNo{k});
-    targets[ShareNo{k}] = policy::targets(fleets[ShareNo{k}], bootS(), settings_.tuning.spareShare);
+    targets[ShareNo{k}] = policy::targets(fleets[ShareNo{k}], prices_, settings_.tuning.spareShare);
   }
   if (now - moveAt_ >= settings_.tuning.moveEvery) {
     moveAt_ = now;
@@ -322,9 +324,19 @@
     log_->debug("share {}: firm {}+{} lendable {}+{} wants {} of {}, has {}+{} spot", k.value, f.firm.used,
                 f.firm.waiting, f.lendable.used, f.lendable.waiting, t.ordinary, t.total, ordinary, spot);
   }
-  bool busy = std::any_of(rentals_.begin(), rentals_.end(), [&](const auto& r) { return r->share == k; });
-  auto wish = policy::rent(f, t, prices_, unavailable());
-  if (wish && !busy && calls_ >= 1) {
+  auto planned = f;
+  bool wished = policy::rent(f, t, prices_, unavailable()).has_value();
+  if (wished) {
+    // A machine that was to empty itself is back at once, and paid for already.
+    auto& hosts = loads_[k].load.hosts;
+    auto kept = std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying; });
+    if (kept != hosts.end()) {
+      kept->emptying = false;
+      return out_.wish({k.value, kept->host, mesh::HostWish::Keep, 0});
+    }
+  }
+  while (auto wish = policy::rent(planned, t, prices_, unavailable())) {
+    if (calls_ < 1) break;
     calls_ -= 1;
     auto r = std::make_shared<Rental>();
     r->request = {"cl-" + settings_.node.value + "-" + std::to_string(dir_.leader->record.epoch.value) + "-" +
@@ -334,14 +346,14 @@
     r->cores = wish->cores;
     r->since = now;
     rentals_.push_back(r);
-    log_->info("renting {} {} in {} for share {} (spot {})", wish->count, wish->offer.type,
-               wish->offer.zone.value, k.value, wish->offer.spot);
+    planned.hosts.push_back({wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1});
+    log_->info("renting {} {} in {} for share {} (spot {})", wish->count, wish->offer.type, wish->offer.zone.value,
+               k.value, wish->offer.spot);
     rent(r);
-    return;
   }
-  if (wish) return;
+  if (wished) return;
   auto go = policy::letGo(f, t, prices_, kMinIdleS);
-  if (!go) return;
+  if (!go) return emptyOne(k, f, t);
   const auto& want = f.hosts[*go];
   for (const auto& h : loads_[k].load.hosts) {
     if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.idleS != want.idleS)
@@ -350,11 +362,24 @@
     if (asked != Time{} && now - asked < kAskAgain) continue;
     asked = now;
     log_->info("letting go of idle {}", h.host);
-    out_.giveUp({k.value, h.host, -1, false});
+    out_.wish({k.value, h.host, mesh::HostWish::Return, 0});
     return;
   }
 }
 
+// Consolidates: a machine that the others can do without takes no more work.
+void Fleet::emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t) {
+  auto busy = policy::toEmpty(f, t, prices_, kMinAgeS);
+  if (!busy) return;
+  const auto& want = f.hosts[*busy];
+  for (auto& h : loads_[k].load.hosts) {
+    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.ageS != want.ageS) continue;
+    h.emptying = true;
+    log_->info("share {} empties {}", k.value, h.host);
+    return out_.wish({k.value, h.host, mesh::HostWish::Empty, 0});
+  }
+}
+
 // The design's rebalancing: idle machines of shares that can spare them go to waiting work.
 void Fleet::move(const std::map<ShareNo, policy::ShareFleet>& fleets,
                  const std::map<ShareNo, policy::Targets>& targets) {
@@ -375,7 +400,7 @@
       if (h == hosts.end()) continue;
       moved.insert(h->host);
       log_->info("moving {} from share {} to {}", h->host, from.value, to.value);
-      out_.giveUp({from.value, h->host, static_cast<std::int32_t>(to.value), false});
+      out_.wish({from.value, h->host, mesh::HostWish::Move, to.value});
       break;
     }
   }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -16,7 +16,7 @@
 class Fleet {
  public:
   struct Outlet {
-    std::function<void(const mesh::GiveUp&)> giveUp;  // to the owner of the share
+    std::function<void(const mesh::HostWish&)> wish;  // to the owner of the share
   };
   Fleet(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir,
         std::uint64_t seed, Outlet out);
@@ -50,6 +50,7 @@
   void returnMarked();
   void plan();
   void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
+  void emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
   void move(const std::map<ShareNo, policy::ShareFleet>& fleets,
             const std::map<ShareNo, policy::Targets>& targets);
   policy::ShareFleet fleetOf(ShareNo k) const;
@@ -58,7 +59,6 @@
   void rented(std::shared_ptr<Rental> r, const HttpResult& h);
   void record(const std::vector<HostId>& hosts, const Rental& r);
   ShareNo neediest() const;
-  double bootS() const;
 
   const Settings& settings_;
   Io& io_;
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -28,7 +28,7 @@
                    [this](ShareNo k, NodeId to) {
                      if (auto* s = scheduler(k)) s->handBack(to);
                    }}),
-      fleet_(settings, io, log, store_, dir_, rng_(), {[this](const mesh::GiveUp& g) { giveUp(g); }}),
+      fleet_(settings, io, log, store_, dir_, rng_(), {[this](const mesh::HostWish& w) { wish(w); }}),
       api_(settings, io, log, store_, dir_, peers_,
            {[this](ShareNo k) { return scheduler(k); },
             [this] { return membership_.standing().owns(io_.now()); },
@@ -96,12 +96,12 @@
     peers_.send(dir_.leader->record.owner, l);
 }
 
-void Node::giveUp(const mesh::GiveUp& g) {
-  ShareNo k{g.share};
+void Node::wish(const mesh::HostWish& w) {
+  ShareNo k{w.share};
   if (auto* s = scheduler(k))
-    s->giveUp(g);
+    s->wish(w);
   else if (const NodeId* owner = dir_.ownerOf(k))
-    peers_.send(*owner, g);
+    peers_.send(*owner, w);
 }
 
 void Node::received(std::uint32_t from, const mesh::Payload& p) {
@@ -119,8 +119,8 @@
     if (auto report = wire::parseReport(seen->body)) fleet_.hostSeen(*report);
   } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
     fleet_.load(*load);
-  } else if (const auto* give = std::get_if<mesh::GiveUp>(&p)) {
-    if (auto* s = scheduler(ShareNo{give->share})) s->giveUp(*give);
+  } else if (const auto* w = std::get_if<mesh::HostWish>(&p)) {
+    if (auto* s = scheduler(ShareNo{w->share})) s->wish(*w);
   }
 }
 
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -27,7 +27,7 @@
   void lost(ShareNo k);
   void jobEnded(const JobId& id, JobStatus s, Stamp stamp);
   void sendLoad(const mesh::ShareLoad& l);
-  void giveUp(const mesh::GiveUp& g);
+  void wish(const mesh::HostWish& w);
   Scheduler* scheduler(ShareNo k);
   void jobs(const HttpRequest& r, Responder done);
   void checkIn(const std::string& body, Responder done);
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -412,7 +412,9 @@
   auto now = io_.now();
   for (auto& [id, h] : books_.hosts()) {
     watchSilence(h, now);
-    if (owns()) settleLeaving(h);
+    if (!owns()) continue;
+    settleEmptying(h);
+    settleLeaving(h);
   }
   if (owns()) {
     sendAll(false);
@@ -463,7 +465,8 @@
     double idle = h.placements.empty() ? inSeconds(now - h.idleSince) : 0;
     load.hosts.push_back({id.value, h.known.record.type, h.zone().value, h.spot(), h.free().cores, idle,
                           usable(h),
-                          h.leaving || h.reclaimAt || h.known.record.phase != wire::HostPhase::InUse});
+                          h.leaving || h.reclaimAt || h.known.record.phase != wire::HostPhase::InUse, h.emptying,
+                          static_cast<double>(io_.wall().value - h.known.record.since.value) / 1000.0});
   }
   out_.load(load);
 }
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -37,7 +37,7 @@
   void jobChanged(const JobId& id);
   void hostChanged(const HostId& id);
   CheckInAnswer checkIn(const wire::Report& r);
-  void giveUp(const mesh::GiveUp& g);
+  void wish(const mesh::HostWish& w);
   void handBack(const NodeId& to);
   // Nothing if this actor may not answer now.
   std::optional<wire::JobView> poll(const JobId& id) const;
@@ -79,6 +79,7 @@
   void tick();
   void watchSilence(Host& h, Time now);
   void settleLeaving(Host& h);
+  void settleEmptying(Host& h);
   void writeHost(Host& h, wire::HostRecord record, bool newToken);
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
@@ -97,6 +98,7 @@
   std::vector<Ranked> candidates();
   unsigned placeSome(Job& job, unsigned most);
   bool placeGang(Job& job);
+  bool keepEmptying();
   void gangBroken(Job& job);
   bool allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const;
   Host* choose(Job& job, std::set<HostId>& refused);
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -24,7 +24,7 @@
 }  // namespace
 
 bool Scheduler::usable(const Host& h) const {
-  return h.heard && !h.leaving && !h.reclaimAt && h.known.record.phase == wire::HostPhase::InUse &&
+  return h.heard && !h.leaving && !h.emptying && !h.reclaimAt && h.known.record.phase == wire::HostPhase::InUse &&
          h.settled() && io_.now() - h.lastHeard < seconds(settings_.reportS * kFreshReports) &&
          h.size.cores > 0;
 }
@@ -344,16 +344,53 @@
   writeHost(h, record, false);
 }
 
-void Scheduler::giveUp(const mesh::GiveUp& g) {
-  Host* h = books_.host(HostId{g.host});
-  if (!loaded_ || !owns() || !h || h->leaving || (!g.drain && !h->placements.empty())) return;
-  h->leaving = true;
-  h->giveTo = g.toShare;
-  std::vector<TaskId> on;
-  for (const auto& [task, _] : h->placements) on.push_back(task);
-  for (const auto& task : on) stop(*h, task, h->placements.at(task));
-  direct(*h);
-  settleLeaving(*h);
+void Scheduler::wish(const mesh::HostWish& w) {
+  Host* h = books_.host(HostId{w.host});
+  if (!loaded_ || !owns() || !h || h->leaving) return;
+  switch (w.kind) {
+    case mesh::HostWish::Keep:
+      h->emptying = false;
+      return wake(true);
+    case mesh::HostWish::Empty:
+      h->emptying = true;
+      return;
+    default:
+      if (!h->placements.empty()) return;
+      h->leaving = true;
+      h->giveTo = w.kind == mesh::HostWish::Move ? static_cast<std::int32_t>(w.toShare) : -1;
+      settleLeaving(*h);
+  }
+}
+
+// A machine that is to empty itself: arrays end by themselves, replicas are moved once there is room for them
+// on machines that have their image, so that they are back at once.
+void Scheduler::settleEmptying(Host& h) {
+  if (!h.emptying || h.leaving) return;
+  if (h.placements.empty()) {
+    h.leaving = true;
+    h.giveTo = -1;
+    return;
+  }
+  std::map<HostId, Resources> room;
+  for (auto& [id, x] : books_.hosts())
+    if (usable(x)) room[id] = x.free();
+  std::vector<TaskId> move;
+  for (const auto& [task, p] : h.placements) {
+    const auto& spec = *p.job->spec;
+    if (spec.shape != Shape::Service || !p.wanted) return;  // not yet
+    auto zones = books_.zonesOf(*p.job);
+    if (--zones[h.zone()] == 0) zones.erase(h.zone());
+    auto to = std::find_if(room.begin(), room.end(), [&](const auto& r) {
+      const Host& x = *books_.host(r.first);
+      return allowed(*p.job, x, zones) && x.images.has(spec.image) && spec.each.fitsIn(r.second);
+    });
+    if (to == room.end()) return;
+    to->second -= spec.each;
+    move.push_back(task);
+  }
+  log_->info("moving {} replicas off {}", move.size(), h.id.value);
+  for (const auto& task : move) stop(h, task, h.placements.at(task));
+  direct(h);
 }
 
 // An emptied machine goes where it was meant to go.
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -1,5 +1,6 @@
 // Rounds of decisions: who waits, where it may go, and who must make room.
 #include <algorithm>
+#include <utility>
 
 #include "actors/scheduler.h"
 #include "policy/coupling.h"
@@ -90,6 +91,7 @@
   }
   drawEverywhere_ = false;
   drawAt_.clear();
+  if (!blocked.empty() && keepEmptying()) return wake(true);
   makeRoom(blocked);
   if (!list.empty()) drawEverywhere_ = true;  // these had no turn yet
 }
@@ -152,6 +154,13 @@
   return !s.spread || it == zones.end() || it->second + 1 <= (s.tasks + 1) / 2;
 }
 
+// Room is short: machines that were to empty themselves take work again. True if there were any.
+bool Scheduler::keepEmptying() {
+  bool any = false;
+  for (auto& [_, h] : books_.hosts()) any |= !h.leaving && std::exchange(h.emptying, false);
+  return any;
+}
+
 // Everything but room and the draw: type, kind, zone, and the zones of the job's other tasks.
 bool Scheduler::allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const {
   const auto& s = *job.spec;
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -73,9 +73,11 @@
   double idleS = 0;  // how long nothing has been on it
   bool usable = false;
   bool draining = false;
+  bool emptying = false;
+  double ageS = 0;
   template <class A>
   void serialize(A& a) {
-    a(host, type, zone, spot, freeCores, idleS, usable, draining);
+    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, ageS);
   }
 };
 
@@ -107,19 +109,25 @@
   }
 };
 
-// From the leader to a share's owner: give this machine up, to another share or back to the cloud.
-struct GiveUp {
+// From the leader to a share's owner: what is to become of one of its machines.
+struct HostWish {
+  enum Kind : std::int32_t {
+    Return,  // back to the cloud if it is idle
+    Move,    // to another share if it is idle
+    Empty,   // takes no more work and goes back once what ends by itself has ended
+    Keep,    // takes work again after all
+  };
   std::uint32_t share = 0;
   std::string host;
-  std::int32_t toShare = -1;  // -1: back to the cloud
-  bool drain = false;         // stop what runs on it
+  std::int32_t kind = Return;
+  std::uint32_t toShare = 0;
   template <class A>
   void serialize(A& a) {
-    a(share, host, toShare, drain);
+    a(share, host, kind, toShare);
   }
 };
 
-using Payload = std::variant<Pulse, JobAsk, CheckInAsk, Answer, HostSeen, ShareLoad, GiveUp>;
+using Payload = std::variant<Pulse, JobAsk, CheckInAsk, Answer, HostSeen, ShareLoad, HostWish>;
 
 struct Frame {
   std::uint32_t from = 0;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -58,15 +58,19 @@
 
 }  // namespace
 
-Targets targets(const ShareFleet& f, double bootS, double spareShare) {
-  auto want = [&](const Work& w) {
-    double need = w.used + w.waiting;
-    double coming = w.arriving * bootS;
-    return need + std::max(coming, need * spareShare) + w.largestTask;
-  };
+Targets targets(const ShareFleet& f, const Catalog& catalog, double spareShare) {
+  double bootS = 0, ratio = 0;  // ratio: ordinary to spot price
+  for (const auto& t : catalog) {
+    bootS += t.bootS / static_cast<double>(catalog.size());
+    if (t.spotPrice > 0) ratio = std::max(ratio, t.price / t.spotPrice);
+  }
+  double need = f.firm.used + f.firm.waiting + f.lendable.used + f.lendable.waiting;
+  double coming = (f.firm.arriving + f.lendable.arriving) * bootS;
   Targets t;
   t.ordinary = f.firm.used + f.firm.waiting + f.firm.largestTask + f.firm.arriving * bootS;
-  t.total = want(f.firm) + want(f.lendable);
+  t.total = need + coming + f.firm.largestTask + f.lendable.largestTask;
+  double lendable = f.lendable.used + f.lendable.waiting;
+  t.ample = t.total + lendable * spareShare * ratio / 2;
   return t;
 }
 
@@ -93,12 +97,12 @@
     auto w = cheapest(f, f.firm, t.ordinary - have.ordinary, false, catalog, unavailable);
     if (w) return w;
   }
-  double missing = t.total - have.ordinary - have.spot;
-  if (missing <= enough) return std::nullopt;
+  double all = have.ordinary + have.spot;
   const auto& kind = f.lendable.used + f.lendable.waiting + f.lendable.arriving > 0 ? f.lendable : f.firm;
-  if (&kind == &f.lendable)
-    if (auto w = cheapest(f, kind, missing, true, catalog, unavailable)) return w;
-  return cheapest(f, kind, missing, false, catalog, unavailable);
+  if (&kind == &f.lendable && t.ample - all > enough)
+    if (auto w = cheapest(f, kind, t.ample - all, true, catalog, unavailable)) return w;
+  if (t.total - all <= enough) return std::nullopt;
+  return cheapest(f, kind, t.total - all, false, catalog, unavailable);
 }
 
 std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
@@ -109,7 +113,7 @@
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
     if (!h.counts || h.idleS < minIdleS) continue;
-    if (have.ordinary + have.spot - h.cores < t.total) continue;
+    if (have.ordinary + have.spot - h.cores < (h.spot ? t.ample : t.total)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
     const auto* type = findType(catalog, h.type);
     double price = type && h.cores > 0 ? (h.spot ? type->spotPrice : type->price) / h.cores : 0;
@@ -120,4 +124,23 @@
   return best;
 }
 
+std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS) {
+  auto have = capacityOf(f);
+  std::optional<std::size_t> best;
+  double bestGain = 0;
+  for (std::size_t i = 0; i < f.hosts.size(); ++i) {
+    const auto& h = f.hosts[i];
+    if (!h.counts || h.emptying || h.idleS >= 0 || h.ageS < minAgeS) continue;
+    if (have.ordinary + have.spot - h.cores < (h.spot ? t.ample : t.total)) continue;
+    if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
+    const auto* type = findType(catalog, h.type);
+    // Dear machines with little on them first.
+    double gain = type ? (h.spot ? type->spotPrice : type->price) / (h.usedCores + 1) : 0;
+    if (gain <= bestGain) continue;
+    best = i;
+    bestGain = gain;
+  }
+  return best;
+}
+
 }  // namespace cherryloft::policy
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -26,6 +26,9 @@
   double cores = 0;
   bool counts = false;  // in use or about to be
   double idleS = -1;    // negative: busy or not up
+  double usedCores = 0;
+  double ageS = 0;
+  bool emptying = false;
 };
 
 struct ShareFleet {
@@ -35,10 +38,12 @@
 
 struct Targets {
   double ordinary = 0;  // cores of ordinary machines at least
-  double total = 0;     // cores in all
+  double total = 0;     // cores in all, for which ordinary machines are rented too
+  double ample = 0;     // cores in all as long as they are cheap
 };
-// Room for what is there, for what comes while a machine boots, and for one more task of each kind.
-Targets targets(const ShareFleet& f, double bootS, double spareShare);
+// Room for what is there, for what comes while a machine boots, and for one more task of each kind; beyond
+// that, the cheaper spot machines are, the more room is kept on them.
+Targets targets(const ShareFleet& f, const Catalog& catalog, double spareShare);
 
 struct Offer {
   std::string type;
@@ -59,4 +64,7 @@
 std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                                  double minIdleS);
 
+// Index of a busy machine that should take no more work, as the others have room enough for all.
+std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS);
+
 }  // namespace cherryloft::policy
