--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -10,7 +10,7 @@
 constexpr Duration kListEvery{2'500};
 constexpr Duration kLoadStale{5'000};
 constexpr Duration kAskAgain{5'000};
-constexpr Duration kFirstRefusal{4'000}, kMostRefusal{30'000};
+constexpr Duration kFirstRefusal{8'000}, kMostRefusal{30'000};
 constexpr double kNeverUp = 3.0;  // boot times after which a starting machine is given up
 constexpr double kNeverUpPlusS = 20;
 constexpr double kLateBoot = 2.0;  // boot times after which it is no longer counted on
@@ -220,6 +220,10 @@
     wire::Transaction t;
     for (const auto& [id, stamp] : *batch) {
       log_->info("{} returned", id.value);
+      if (auto known = dir_.hosts.find(id); known != dir_.hosts.end()) {
+        const auto& r = known->second.record;
+        refusedUntil_.erase({r.type, r.zone, r.spot});  // there is one to be had again
+      }
       returned_.insert(id);
       t.when[keys::host(id)] = stamp;
       t.apply.push_back({keys::host(id), std::nullopt, {}});
@@ -326,7 +330,7 @@
   }
   auto planned = f;
   bool wished = policy::rent(f, t, prices_, unavailable()).has_value();
-  if (wished) {
+  if (policy::isShort(f, t)) {
     // A machine that was to empty itself is back at once, and paid for already.
     auto& hosts = loads_[k].load.hosts;
     auto kept = std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying; });
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -99,6 +99,7 @@
   unsigned placeSome(Job& job, unsigned most);
   bool placeGang(Job& job);
   bool keepEmptying();
+  bool anyRoom(const Job& job) const;
   void gangBroken(Job& job);
   bool allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const;
   Host* choose(Job& job, std::set<HostId>& refused);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -86,12 +86,13 @@
     auto got = placeSome(*best->job, static_cast<unsigned>(most));
     ++turns[best->job->spec->team];
     if (got == most && !best->job->waiting.empty()) continue;
-    if (got < most) blocked.push_back(*best);
+    if (got < most && books_.withinLimit(*best->job)) blocked.push_back(*best);
     list.erase(best);
   }
   drawEverywhere_ = false;
   drawAt_.clear();
-  if (!blocked.empty() && keepEmptying()) return wake(true);
+  bool roomless = std::any_of(blocked.begin(), blocked.end(), [&](const Ranked& r) { return !anyRoom(*r.job); });
+  if (roomless && keepEmptying()) return wake(true);
   makeRoom(blocked);
   if (!list.empty()) drawEverywhere_ = true;  // these had no turn yet
 }
@@ -154,6 +155,14 @@
   return !s.spread || it == zones.end() || it->second + 1 <= (s.tasks + 1) / 2;
 }
 
+// Whether some machine could take the job's next task now, whatever the draw says.
+bool Scheduler::anyRoom(const Job& job) const {
+  auto zones = books_.zonesOf(job);
+  return std::any_of(books_.hosts().begin(), books_.hosts().end(), [&](const auto& h) {
+    return allowed(job, h.second, zones) && job.spec->each.fitsIn(h.second.free());
+  });
+}
+
 // Room is short: machines that were to empty themselves take work again. True if there were any.
 bool Scheduler::keepEmptying() {
   bool any = false;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -7,6 +7,9 @@
 namespace cherryloft::policy {
 namespace {
 
+constexpr double kEnough = 0.5;    // cores
+constexpr double kSurplus = 0.1;   // share of the total that must be left over before a machine empties itself
+
 struct Capacity {
   double ordinary = 0, spot = 0;
 };
@@ -74,10 +77,14 @@
   return t;
 }
 
+bool isShort(const ShareFleet& f, const Targets& t) {
+  auto have = capacityOf(f);
+  return t.ordinary - have.ordinary > kEnough || t.total - have.ordinary - have.spot > kEnough;
+}
+
 std::optional<Wish> rent(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                          const std::set<Offer>& unavailable) {
   auto have = capacityOf(f);
-  constexpr double enough = 0.5;  // cores
   for (const auto* w : {&f.firm, &f.lendable}) {
     auto covered = [&](const Zone& z) {
       return std::any_of(f.hosts.begin(), f.hosts.end(), [&](const auto& h) {
@@ -93,15 +100,15 @@
             elsewhere.insert({t.name, z, spot});
     if (auto wish = cheapest(f, *w, w->largestTask, false, catalog, elsewhere)) return wish;
   }
-  if (t.ordinary - have.ordinary > enough) {
+  if (t.ordinary - have.ordinary > kEnough) {
     auto w = cheapest(f, f.firm, t.ordinary - have.ordinary, false, catalog, unavailable);
     if (w) return w;
   }
   double all = have.ordinary + have.spot;
   const auto& kind = f.lendable.used + f.lendable.waiting + f.lendable.arriving > 0 ? f.lendable : f.firm;
-  if (&kind == &f.lendable && t.ample - all > enough)
+  if (&kind == &f.lendable && t.ample - all > kEnough)
     if (auto w = cheapest(f, kind, t.ample - all, true, catalog, unavailable)) return w;
-  if (t.total - all <= enough) return std::nullopt;
+  if (t.total - all <= kEnough) return std::nullopt;
   return cheapest(f, kind, t.total - all, false, catalog, unavailable);
 }
 
@@ -131,7 +138,7 @@
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
     if (!h.counts || h.emptying || h.idleS >= 0 || h.ageS < minAgeS) continue;
-    if (have.ordinary + have.spot - h.cores < (h.spot ? t.ample : t.total)) continue;
+    if (have.ordinary + have.spot - h.cores < (1 + kSurplus) * (h.spot ? t.ample : t.total)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
     const auto* type = findType(catalog, h.type);
     // Dear machines with little on them first.
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -56,6 +56,8 @@
   unsigned count = 1;
   double cores = 0;
 };
+// What ordinary machines would be rented for is not there.
+bool isShort(const ShareFleet& f, const Targets& t);
 // The next rental, or nothing when the targets are met or nothing fitting is on offer.
 std::optional<Wish> rent(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                          const std::set<Offer>& unavailable);
