--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -236,7 +236,7 @@
 
 policy::ShareFleet Fleet::fleetOf(ShareNo k) const {
   auto work = [](const mesh::Demand& d) {
-    policy::Work w{d.used, d.waiting, d.arriving, d.largestTask, d.ramPerCore, d.types, {}};
+    policy::Work w{d.used, d.waiting, d.arriving, d.largestTask, d.largestJob, d.ramPerCore, d.types, {}};
     for (const auto& z : d.stuckZones) w.stuckZones.push_back(Zone{z});
     return w;
   };
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -151,7 +151,8 @@
   if (k.status != JobStatus::Open || !k.spec) return;
   auto& job = books_.addJob(id, k);
   auto now = io_.now();
-  arrivals_.push_back({now, job.unfinished().cores, job.spec->lendable});
+  const Team* team = settings_.team(job.spec->team);
+  arrivals_.push_back({now, std::min(job.unfinished().cores, team ? team->coresMax : 0), job.spec->lendable});
   log_->debug("job {} came: {} tasks of {} cores", id.value, job.tasks.size(), job.spec->each.cores);
   wake(true);
 }
@@ -459,8 +460,11 @@
     if (!job.waiting.empty() && (job.spec->spread || job.spec->zone || job.spec->oneZone)) stuckZones(job, d);
   }
   while (!arrivals_.empty() && now - arrivals_.front().at > kArrivalsKept) arrivals_.pop_front();
-  for (const auto& a : arrivals_)
-    (a.lendable ? load.lendable : load.firm).arriving += a.cores / inSeconds(kArrivalsKept);
+  for (const auto& a : arrivals_) {
+    auto& d = a.lendable ? load.lendable : load.firm;
+    d.arriving += a.cores / inSeconds(kArrivalsKept);
+    d.largestJob = std::max(d.largestJob, a.cores);
+  }
   for (auto& [id, h] : books_.hosts()) {
     double idle = h.placements.empty() ? inSeconds(now - h.idleSince) : 0;
     load.hosts.push_back({id.value, h.known.record.type, h.zone().value, h.spot(), h.free().cores, idle,
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -87,12 +87,13 @@
   double waiting = 0;   // within the teams' limits
   double arriving = 0;  // cores asked for per second of late
   double largestTask = 0;
+  double largestJob = 0;  // of those that came of late
   double ramPerCore = 0;
   std::vector<std::string> types;       // empty: any
   std::vector<std::string> stuckZones;  // where machines are missing for tasks that may go nowhere else
   template <class A>
   void serialize(A& a) {
-    a(used, waiting, arriving, largestTask, ramPerCore, types, stuckZones);
+    a(used, waiting, arriving, largestTask, largestJob, ramPerCore, types, stuckZones);
   }
 };
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -68,12 +68,12 @@
     if (t.spotPrice > 0) ratio = std::max(ratio, t.price / t.spotPrice);
   }
   double need = f.firm.used + f.firm.waiting + f.lendable.used + f.lendable.waiting;
-  double coming = (f.firm.arriving + f.lendable.arriving) * bootS;
   Targets t;
   t.ordinary = f.firm.used + f.firm.waiting + f.firm.largestTask + f.firm.arriving * bootS;
-  t.total = need + coming + f.firm.largestTask + f.lendable.largestTask;
+  // Arrays end about as fast as they come, so what is there tells what will be needed.
+  t.total = need + f.firm.arriving * bootS + f.firm.largestTask + f.lendable.largestTask;
   double lendable = f.lendable.used + f.lendable.waiting;
-  t.ample = t.total + lendable * spareShare * ratio / 2;
+  t.ample = t.total + lendable * spareShare * std::max(0.0, ratio - 1);
   return t;
 }
 
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -14,6 +14,7 @@
   double used = 0, waiting = 0;  // cores
   double arriving = 0;           // cores per second of late
   double largestTask = 0;
+  double largestJob = 0;          // of those that came of late
   double ramPerCore = 0;
   std::vector<std::string> types;  // empty: any
   std::vector<Zone> stuckZones;    // where machines are missing for tasks that may go nowhere else
