--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -312,14 +312,19 @@
     fleets[ShareNo{k}] = fleetOf(ShareNo{k});
     targets[ShareNo{k}] = policy::targets(fleets[ShareNo{k}], prices_, settings_.tuning.spareShare);
   }
-  if (now - moveAt_ >= settings_.tuning.moveEvery) {
-    moveAt_ = now;
-    move(fleets, targets);
+  bool beat = now - moveAt_ >= settings_.tuning.moveEvery;
+  if (beat) moveAt_ = now;
+  move(fleets, targets, beat);
+  // Spare room is common to all shares, as idle machines are moved on request.
+  double spare = 0, burst = 0;
+  for (const auto& [k, f] : fleets) {
+    spare += policy::coresOf(f) - targets[k].ample;
+    burst = std::max(burst, f.lendable.largestJob);
   }
-  for (const auto& [k, f] : fleets) planShare(k, f, targets[k]);
+  for (const auto& [k, f] : fleets) planShare(k, f, targets[k], spare - burst);
 }
 
-void Fleet::planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t) {
+void Fleet::planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot) {
   auto now = io_.now();
   if (log_->should_log(spdlog::level::debug)) {
     double ordinary = 0, spot = 0;
@@ -341,22 +346,13 @@
   }
   while (auto wish = policy::rent(planned, t, prices_, unavailable())) {
     if (calls_ < 1) break;
-    calls_ -= 1;
-    auto r = std::make_shared<Rental>();
-    r->request = {"cl-" + settings_.node.value + "-" + std::to_string(dir_.leader->record.epoch.value) + "-" +
-                      std::to_string(++claims_),
-                  wish->offer.type, wish->offer.zone, wish->offer.spot, wish->count};
-    r->share = k;
-    r->cores = wish->cores;
-    r->since = now;
-    rentals_.push_back(r);
-    planned.hosts.push_back({wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1});
-    log_->info("renting {} {} in {} for share {} (spot {})", wish->count, wish->offer.type, wish->offer.zone.value,
-               k.value, wish->offer.spot);
-    rent(r);
+    startRental(k, *wish);
+    planned.hosts.push_back({wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1, 0, 0, false});
   }
   if (wished) return;
-  auto go = policy::letGo(f, t, prices_, kMinIdleS);
+  if (auto small = policy::replacement(f, t, prices_, unavailable(), kMinAgeS); small && calls_ >= 1)
+    return startRental(k, *small);
+  auto go = policy::letGo(f, t, prices_, kMinIdleS, spareSpot);
   if (!go) return emptyOne(k, f, t);
   const auto& want = f.hosts[*go];
   for (const auto& h : loads_[k].load.hosts) {
@@ -384,32 +380,49 @@
   }
 }
 
-// The design's rebalancing: idle machines of shares that can spare them go to waiting work.
+// The design's rebalancing: idle machines of shares that can spare them go to waiting work. Between two beats
+// the same is done for one machine a share and turn, on request (DESIGN.md, exceptions).
 void Fleet::move(const std::map<ShareNo, policy::ShareFleet>& fleets,
-                 const std::map<ShareNo, policy::Targets>& targets) {
-  std::set<std::string> moved;
+                 const std::map<ShareNo, policy::Targets>& targets, bool beat) {
+  auto now = io_.now();
   for (const auto& [to, need] : fleets) {
-    if (need.firm.waiting + need.lendable.waiting <= 0) continue;
+    double missing = need.firm.waiting + need.lendable.waiting;
     for (const auto& [from, spare] : fleets) {
       if (from == to) continue;
-      auto go = policy::letGo(spare, targets.at(from), prices_, 0.5);
-      if (!go) continue;
-      const auto& want = spare.hosts[*go];
-      if (want.spot && need.lendable.waiting <= 0) continue;
-      auto& hosts = loads_[from].load.hosts;
-      auto h = std::find_if(hosts.begin(), hosts.end(), [&](const auto& x) {
-        return x.idleS == want.idleS && x.type == want.type && x.spot == want.spot &&
-               moved.count(x.host) == 0;
-      });
-      if (h == hosts.end()) continue;
-      moved.insert(h->host);
-      log_->info("moving {} from share {} to {}", h->host, from.value, to.value);
-      out_.wish({from.value, h->host, mesh::HostWish::Move, to.value});
-      break;
+      const auto& t = targets.at(from);
+      double left = policy::coresOf(spare) - t.total;
+      for (auto& h : loads_[from].load.hosts) {
+        const auto* type = findType(prices_, h.type);
+        if (missing <= 0 || !type || h.idleS <= 0 || !h.usable || type->size.cores > left) continue;
+        if (h.spot && need.lendable.waiting <= 0) continue;
+        auto& asked = asked_[HostId{h.host}];
+        if (asked != Time{} && now - asked < kAskAgain) continue;
+        asked = now;
+        left -= type->size.cores;
+        missing -= type->size.cores;
+        h.idleS = 0;
+        log_->info("moving {} from share {} to {}", h.host, from.value, to.value);
+        out_.wish({from.value, h.host, mesh::HostWish::Move, to.value});
+        if (!beat) break;
+      }
     }
   }
 }
 
+void Fleet::startRental(ShareNo k, const policy::Wish& wish) {
+  calls_ -= 1;
+  auto r = std::make_shared<Rental>();
+  r->request = {"cl-" + settings_.node.value + "-" + std::to_string(dir_.leader->record.epoch.value) + "-" +
+                    std::to_string(++claims_),
+                wish.offer.type, wish.offer.zone, wish.offer.spot, wish.count};
+  r->share = k;
+  r->cores = wish.cores;
+  rentals_.push_back(r);
+  log_->info("renting {} {} in {} for share {} (spot {})", wish.count, wish.offer.type, wish.offer.zone.value,
+             k.value, wish.offer.spot);
+  rent(r);
+}
+
 void Fleet::rent(std::shared_ptr<Rental> r) {
   call({"POST", "/hosts", wire::encodeRental(r->request), false}, [this, r](HttpResult h) { rented(r, h); });
 }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -35,7 +35,6 @@
     wire::Rental request;
     ShareNo share;
     double cores = 0;
-    Time since;
   };
 
   void tick();
@@ -49,10 +48,11 @@
   void markReturning(const HostId& id, const char* why);
   void returnMarked();
   void plan();
-  void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
+  void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot);
   void emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
-  void move(const std::map<ShareNo, policy::ShareFleet>& fleets,
-            const std::map<ShareNo, policy::Targets>& targets);
+  void move(const std::map<ShareNo, policy::ShareFleet>& fleets, const std::map<ShareNo, policy::Targets>& targets,
+            bool beat);
+  void startRental(ShareNo k, const policy::Wish& wish);
   policy::ShareFleet fleetOf(ShareNo k) const;
   std::set<policy::Offer> unavailable() const;
   void rent(std::shared_ptr<Rental> r);
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -112,15 +112,40 @@
   return cheapest(f, kind, t.total - all, false, catalog, unavailable);
 }
 
-std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
-                                 double minIdleS) {
+double coresOf(const ShareFleet& f) {
+  auto c = capacityOf(f);
+  return c.ordinary + c.spot;
+}
+
+std::optional<Wish> replacement(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                const std::set<Offer>& unavailable, double minAgeS) {
+  constexpr double worthIt = 0.6;  // of the price, at most
+  auto have = capacityOf(f);
+  for (const auto& h : f.hosts) {
+    const auto* type = findType(catalog, h.type);
+    if (h.spot || !h.counts || !type || h.ageS < minAgeS) continue;
+    double missing = std::max(t.ordinary - (have.ordinary - h.cores),
+                              (1 + kSurplus) * t.total - (have.ordinary + have.spot - h.cores));
+    if (missing <= kEnough) continue;
+    auto w = cheapest(f, f.firm, missing, false, catalog, unavailable);
+    const auto* small = w ? findType(catalog, w->offer.type) : nullptr;
+    if (!small) continue;
+    w->count = static_cast<unsigned>(std::ceil(missing / small->size.cores - 1e-9));
+    w->cores = w->count * small->size.cores;
+    if (w->count <= 4 && small->price * w->count < worthIt * type->price) return w;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minIdleS,
+                                 double spareSpot) {
   auto have = capacityOf(f);
   std::optional<std::size_t> best;
   double bestPrice = 0;
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
     if (!h.counts || h.idleS < minIdleS) continue;
-    if (have.ordinary + have.spot - h.cores < (h.spot ? t.ample : t.total)) continue;
+    if (have.ordinary + have.spot - h.cores < t.total || (h.spot && h.cores > spareSpot)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
     const auto* type = findType(catalog, h.type);
     double price = type && h.cores > 0 ? (h.spot ? type->spotPrice : type->price) / h.cores : 0;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -63,9 +63,14 @@
 std::optional<Wish> rent(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                          const std::set<Offer>& unavailable);
 
-// Index of an idle machine that may go, the dearest first; nothing if all are needed.
-std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
-                                 double minIdleS);
+// Index of an idle machine that may go, the dearest first; nothing if all are needed. Of spot machines,
+// spareSpot cores in all may go.
+std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minIdleS,
+                                 double spareSpot);
+// A small ordinary machine to put in the place of a large one that little runs on.
+std::optional<Wish> replacement(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                const std::set<Offer>& unavailable, double minAgeS);
+double coresOf(const ShareFleet& f);
 
 // Index of a busy machine that should take no more work, as the others have room enough for all.
 std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS);
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -94,11 +94,11 @@
   f.hosts = {{"l", Zone{"a"}, true, 32, true, 60},
              {"l", Zone{"a"}, false, 32, true, 60},
              {"s", Zone{"a"}, false, 8, true, 2}};
-  auto go = letGo(f, targets(f, catalog, 0), catalog, 10);
+  auto go = letGo(f, targets(f, catalog, 0), catalog, 10, 1000);
   ASSERT_TRUE(go);
   EXPECT_EQ(*go, 1u);
   f.firm.used = 40;  // all ordinary machines are needed
-  EXPECT_NE(letGo(f, targets(f, catalog, 0), catalog, 10), std::optional<std::size_t>(1));
+  EXPECT_NE(letGo(f, targets(f, catalog, 0), catalog, 10, 1000), std::optional<std::size_t>(1));
 }
 
 TEST(Settings, SharesAndTimes) {
