--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -62,6 +62,10 @@
       c.guaranteed = t && Resources{sum.cores, sum.gpus, 0}.fitsIn({t->cores, t->gpus, 0});
       c.ageS = static_cast<double>(wall.value - job->submitted.value) / 1000.0;
       if (job->spec->dueS) c.slackS = *job->spec->dueS - c.ageS - job->spec->expectS;
+      c.workLeft = job->unfinished().cores * job->spec->expectS;
+      // Owners' estimates are often wrong by half: half of one must fit.
+      auto within = job->spec->dueS ? job->spec->dueS : settings_.tightest(job->spec->jobClass);
+      c.hopeful = !within || c.ageS + 0.5 * job->spec->expectS <= *within;
       out.push_back({job, c});
     }
   }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -70,6 +70,13 @@
 
 Duration Settings::grace() const { return seconds(cancelS - leaseS) - margin() - holdTtl(); }
 
+std::optional<double> Settings::tightest(const std::string& jobClass) const {
+  std::optional<double> best;
+  for (const auto& a : aims)
+    if (a.jobClass == jobClass && (!best || a.withinS < *best)) best = a.withinS;
+  return best;
+}
+
 const Team* Settings::team(const TeamId& name) const {
   auto it = std::lower_bound(teams.begin(), teams.end(), name,
                              [](const Team& t, const TeamId& n) { return t.name < n; });
@@ -116,6 +123,12 @@
     s.teams.push_back({TeamId{text(t, "name")}, number(t, "cpus", 0, big), number(t, "cpus_max", 0, big),
                        number(t, "gpus", 0, big), number(t, "gpus_max", 0, big)});
   std::sort(s.teams.begin(), s.teams.end(), [](const Team& a, const Team& b) { return a.name < b.name; });
+  // Aims only guide the order of work: what is not understood is left out.
+  if (d.contains("objectives") && d.at("objectives").is_array())
+    for (const auto& o : d.at("objectives"))
+      if (o.is_object() && o.value("kind", json()) == "finished" && o.contains("class") && o.at("class").is_string() &&
+          o.contains("within_s") && o.at("within_s").is_number())
+        s.aims.push_back({o.at("class").get<std::string>(), o.at("within_s").get<double>()});
   const auto& w = object(d, "workers");
   s.reportS = number(w, "report_s", 0.001, 3600);
   s.leaseS = number(w, "lease_s", 0.001, 86400);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -1,6 +1,7 @@
 // The platform's settings file, checked, and what the operators' own flags and variables add.
 #pragma once
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -33,6 +34,12 @@
   double cores = 0, coresMax = 0, gpus = 0, gpusMax = 0;
 };
 
+// "This share of the jobs of a class should be done so long after their submission."
+struct FinishAim {
+  std::string jobClass;
+  double withinS = 0;
+};
+
 // Values the operators may set; the defaults are what OPERATING.md lists.
 struct Tuning {
   Duration holdTtl{3000};
@@ -52,6 +59,7 @@
   Address state;
   std::vector<Zone> zones;
   std::vector<Team> teams;  // sorted by name
+  std::vector<FinishAim> aims;
   double reportS = 3, leaseS = 45, cancelS = 75;
   double stateRps = 100, stateWriteRps = 50;
   std::size_t valueBytes = 4096;
@@ -70,6 +78,8 @@
   Duration grace() const;
   Duration margin() const;
   ShareNo shareOfTeam(const TeamId& team) const;
+  // The shortest time within which jobs of the class should be done, if there is an aim for it.
+  std::optional<double> tightest(const std::string& jobClass) const;
   const Team* team(const TeamId& name) const;
   ShareNo homeShare(const NodeId& name) const;
 };
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -35,7 +35,7 @@
 }
 
 TEST(Order, RankThenGuaranteeThenTurnsThenSlackThenAge) {
-  Candidate base{Rank::Normal, false, 0, std::nullopt, 10};
+  Candidate base{Rank::Normal, false, true, 0, std::nullopt, 100, 10};
   auto with = [&](auto f) {
     auto c = base;
     f(c);
@@ -44,11 +44,15 @@
   auto high = with([](auto& c) { c.rank = Rank::High; });
   auto guaranteed = with([](auto& c) { c.guaranteed = true; });
   auto due = with([](auto& c) { c.slackS = 5; });
+  auto late = with([](auto& c) { c.hopeful = false, c.workLeft = 1, c.slackS = 0; });
+  auto small = with([](auto& c) { c.workLeft = 50, c.ageS = 1; });
   auto older = with([](auto& c) { c.ageS = 20; });
   auto served = with([](auto& c) { c.turns = 1, c.ageS = 99, c.slackS = 0; });
   EXPECT_TRUE(before(high, guaranteed));
   EXPECT_TRUE(before(guaranteed, due));
-  EXPECT_TRUE(before(due, older));
+  EXPECT_TRUE(before(due, small));
+  EXPECT_TRUE(before(small, older));
+  EXPECT_TRUE(before(base, late));
   EXPECT_TRUE(before(older, base));
   EXPECT_TRUE(before(base, served));
   EXPECT_FALSE(before(base, base));
