--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -333,12 +333,19 @@
     log_->debug("share {}: firm {}+{} lendable {}+{} wants {} of {}, has {}+{} spot", k.value, f.firm.used,
                 f.firm.waiting, f.lendable.used, f.lendable.waiting, t.ordinary, t.total, ordinary, spot);
   }
+  for (auto& h : loads_[k].load.hosts) {
+    if (!h.emptying || h.idleS <= 0) continue;
+    auto& asked = asked_[HostId{h.host}];
+    if (asked != Time{} && now - asked < kAskAgain) continue;
+    asked = now;
+    out_.wish({k.value, h.host, mesh::HostWish::Return, 0});
+  }
   auto planned = f;
   bool wished = policy::rent(f, t, prices_, unavailable()).has_value();
   if (policy::isShort(f, t)) {
     // A machine that was to empty itself is back at once, and paid for already.
     auto& hosts = loads_[k].load.hosts;
-    auto kept = std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying; });
+    auto kept = std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying && h.idleS <= 0; });
     if (kept != hosts.end()) {
       kept->emptying = false;
       return out_.wish({k.value, kept->host, mesh::HostWish::Keep, 0});
@@ -393,12 +400,13 @@
       double left = policy::coresOf(spare) - t.total;
       for (auto& h : loads_[from].load.hosts) {
         const auto* type = findType(prices_, h.type);
-        if (missing <= 0 || !type || h.idleS <= 0 || !h.usable || type->size.cores > left) continue;
+        bool spareable = h.emptying || (h.usable && type && type->size.cores <= left);
+        if (missing <= 0 || !type || h.idleS <= 0 || !spareable) continue;
         if (h.spot && need.lendable.waiting <= 0) continue;
         auto& asked = asked_[HostId{h.host}];
         if (asked != Time{} && now - asked < kAskAgain) continue;
         asked = now;
-        left -= type->size.cores;
+        if (!h.emptying) left -= type->size.cores;
         missing -= type->size.cores;
         h.idleS = 0;
         log_->info("moving {} from share {} to {}", h.host, from.value, to.value);
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -5,7 +5,8 @@
 namespace cherryloft {
 namespace {
 constexpr Duration kRelay{2'500};        // workers wait 4 s
-constexpr Duration kSteerAgain{20'000};  // a worker sent on that comes back sooner could not get there
+constexpr Duration kRelayFirst{8'000};   // a worker that comes here may have found its owner out of reach
+constexpr Duration kSteerAgain{60'000};  // one sent on to its owner that comes back sooner has
 }  // namespace
 
 Node::Node(const Settings& settings, Io& io, Log log, std::uint64_t seed)
@@ -193,12 +194,19 @@
   if (!owner || *owner == settings_.node || !dir_.alive(*owner))
     return unavailable("share is being taken over");
   auto now = io_.now();
-  auto& steered = steered_[report->host];
-  if (steered.to != *owner || now - steered.at > kSteerAgain) {
-    steered = {*owner, now};
+  // Its lease and its orders come first: the check-in is relayed at once. Only a worker that stays is sent on
+  // to its owner, and one that comes back from there is relayed for long.
+  auto& guest = guests_[report->host];
+  if (guest.owner != *owner || now - guest.last > 2 * kRelayFirst) {
+    bool returned = guest.owner == *owner && now - guest.steered < kSteerAgain;
+    guest = {*owner, now, now, returned ? guest.steered : Time{}};
+  }
+  guest.last = now;
+  bool steer = now - guest.since > kRelayFirst && (guest.steered == Time{} || now - guest.steered > kSteerAgain);
+  if (steer && peers_.hears(peers_.numberOf(*owner))) {
+    guest.steered = now;
     return done({421, wire::encodeOwner(*owner), true, 0});
   }
-  // It was sent there and came back: the owner may be out of its reach, but not out of ours.
   peers_.ask(*owner, mesh::CheckInAsk{0, body}, kRelay, [done = std::move(done)](const mesh::Answer* a) {
     if (a && a->status == 200) return done({200, a->body, false, 0});
     done(wire::userError(503, "the owner does not answer"));
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -45,11 +45,12 @@
   Fleet fleet_;
   Api api_;
   std::map<ShareNo, std::unique_ptr<Scheduler>> schedulers_;
-  struct Steered {
-    NodeId to;
-    Time at;
+  // Workers of other controllers' shares that report here.
+  struct Guest {
+    NodeId owner;
+    Time since{}, last{}, steered{};
   };
-  std::map<HostId, Steered> steered_;
+  std::map<HostId, Guest> guests_;
 };
 
 }  // namespace cherryloft
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kStopAgain{1'500};
 constexpr std::size_t kMostOrders = 300;  // keeps an answer's line under 64 KiB
 constexpr double kFreshReports = 2.6;     // report intervals after which a machine gets no new work
-constexpr double kSilentReports = 4.0;    // and after which a lone silent machine is returned
+constexpr double kSilentReports = 5.0;    // and after which a lone silent machine is returned
 constexpr double kSilentShare = 0.26;     // more silent machines than this: the fault is not theirs
 constexpr unsigned kFailuresToBackOff = 3;
 constexpr std::size_t kFailedJobsToDrain = 2;
@@ -365,12 +365,7 @@
 // A machine that is to empty itself: arrays end by themselves, replicas are moved once there is room for them
 // on machines that have their image, so that they are back at once.
 void Scheduler::settleEmptying(Host& h) {
-  if (!h.emptying || h.leaving) return;
-  if (h.placements.empty()) {
-    h.leaving = true;
-    h.giveTo = -1;
-    return;
-  }
+  if (!h.emptying || h.leaving || h.placements.empty()) return;  // once empty, the leader says where it goes
   std::map<HostId, Resources> room;
   for (auto& [id, x] : books_.hosts())
     if (usable(x)) room[id] = x.free();
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -33,11 +33,12 @@
 
 std::optional<Wish> cheapest(const ShareFleet& f, const Work& w, double missing, bool spot,
                              const Catalog& catalog, const std::set<Offer>& unavailable) {
-  std::map<Zone, int> inZone;
-  for (const auto& h : f.hosts) ++inZone[h.zone];
+  std::map<Zone, double> inZone;  // cores of that kind
+  for (const auto& h : f.hosts)
+    if (h.spot == spot) inZone[h.zone] += h.cores;
   std::optional<Wish> best;
   double bestCost = 0;
-  int bestZone = 0;
+  double bestZone = 0;
   for (const auto& t : catalog) {
     double usable = listed(w, t.name) ? usableCores(t, w) : 0;
     if (usable <= 0) continue;
@@ -50,7 +51,9 @@
       if (unavailable.count(o) > 0) continue;
       bool better = !best || cost < bestCost - 1e-12 || (cost < bestCost + 1e-12 && inZone[z] < bestZone);
       if (!better) continue;
-      auto count = static_cast<unsigned>(std::clamp(std::floor(missing / usable), 1.0, 4.0));
+      // Part of it only, so that the zones fill evenly.
+      auto part = missing / usable / static_cast<double>(t.zones.size());
+      auto count = static_cast<unsigned>(std::clamp(std::floor(part), 1.0, 4.0));
       best = Wish{o, count, usable * count};
       bestCost = cost;
       bestZone = inZone[z];
