--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -52,6 +52,7 @@
   h.known = known;
   if (type) {
     h.size = type->size;
+    h.fetchGbPerS = type->fetchGbPerS;
     h.images = ImageCache(type->cacheGb);
   }
   h.idleSince = h.addedAt = h.lastHeard = now;
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -78,6 +78,7 @@
   HostId id;
   KnownHost known;
   Resources size, used;
+  double fetchGbPerS = 0;
   std::map<TaskId, Placement> placements;
   ImageCache images;
 
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -9,6 +9,7 @@
 #include "actors/store.h"
 #include "mesh/messages.h"
 #include "policy/order.h"
+#include "policy/preempt.h"
 #include "wire/users.h"
 
 namespace cherryloft {
@@ -100,6 +101,10 @@
   bool placeGang(Job& job);
   bool keepEmptying();
   bool anyRoom(const Job& job) const;
+  bool tooSlow(const Job& job, const Host& h) const;
+  bool holderCouldMakeRoom(const Job& job, const std::map<Zone, unsigned>& zones) const;
+  std::pair<std::vector<policy::Victim>, std::vector<TaskId>> victims(const Job& job, bool guaranteed,
+                                                                      const Host& h) const;
   void gangBroken(Job& job);
   bool allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const;
   Host* choose(Job& job, std::set<HostId>& refused);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -11,8 +11,13 @@
 
 constexpr unsigned kTurn = 8;                 // tasks a job is given before the next in line has its turn
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
+constexpr double kSlowStart = 1e6;         // core seconds that a start too slow for its aim counts as
 constexpr double kServiceLoss = 600;          // seconds of work that moving a replica counts as
 
+double fetchS(const Host& h, const JobSpec& job) {
+  return h.fetchGbPerS > 0 ? job.imageGb / h.fetchGbPerS : 0;
+}
+
 double replicaCores(const Host& h) {
   double cores = 0;
   for (const auto& [_, p] : h.placements)
@@ -64,7 +69,7 @@
       if (job->spec->dueS) c.slackS = *job->spec->dueS - c.ageS - job->spec->expectS;
       c.workLeft = job->unfinished().cores * job->spec->expectS;
       // Owners' estimates are often wrong by half: half of one must fit.
-      auto within = job->spec->dueS ? job->spec->dueS : settings_.tightest(job->spec->jobClass);
+      auto within = job->spec->dueS ? job->spec->dueS : settings_.finishWithin(job->spec->jobClass);
       c.hopeful = !within || c.ageS + 0.5 * job->spec->expectS <= *within;
       out.push_back({job, c});
     }
@@ -167,6 +172,41 @@
   });
 }
 
+// The start on a machine without the image would miss the class's aim by the fetch alone.
+bool Scheduler::tooSlow(const Job& job, const Host& h) const {
+  auto within = settings_.startWithin(job.spec->jobClass);
+  return within && !h.images.has(job.spec->image) && fetchS(h, *job.spec) > *within;
+}
+
+// Tasks that the job may stop on the machine, and what they are.
+std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(const Job& job, bool guaranteed,
+                                                                               const Host& h) const {
+  auto now = io_.now();
+  std::vector<policy::Victim> offered;
+  std::vector<TaskId> tasks;
+  for (const auto& [task, p] : h.placements) {
+    const auto& other = *p.job->spec;
+    const Team* t = settings_.team(other.team);
+    bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - 1e-6;
+    bool sameTeam = other.team == job.spec->team;
+    if (!p.wanted || !policy::mayStop(job.spec->rank, guaranteed, sameTeam, other.rank, above)) continue;
+    double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
+    if (other.snapshotEveryS > 0) ran = std::min(ran, other.snapshotEveryS);
+    if (other.shape == Shape::Service) ran += kServiceLoss;
+    offered.push_back({other.each, ran});
+    tasks.push_back(task);
+  }
+  return {std::move(offered), std::move(tasks)};
+}
+
+bool Scheduler::holderCouldMakeRoom(const Job& job, const std::map<Zone, unsigned>& zones) const {
+  return std::any_of(books_.hosts().begin(), books_.hosts().end(), [&](const auto& x) {
+    const Host& h = x.second;
+    if (!h.images.has(job.spec->image) || !allowed(job, h, zones)) return false;
+    return policy::evict(h.free() + h.leavingRoom(), job.spec->each, victims(job, false, h).first).has_value();
+  });
+}
+
 // Room is short: machines that were to empty themselves take work again. True if there were any.
 bool Scheduler::keepEmptying() {
   bool any = false;
@@ -209,7 +249,17 @@
   };
   if (!holders.empty()) return *std::min_element(holders.begin(), holders.end(), better);
   if (others.empty()) return nullptr;
-  std::sort(others.begin(), others.end(), better);
+  // Where a start is to come soon, the time of the fetch decides; if even the shortest is too long, room is
+  // made on a machine that has the image (DESIGN.md, exceptions).
+  if (settings_.startWithin(spec.jobClass)) {
+    std::stable_sort(others.begin(), others.end(), [&](const Host* a, const Host* b) {
+      auto fa = fetchS(*a, spec), fb = fetchS(*b, spec);
+      return fa != fb ? fa < fb : better(a, b);
+    });
+    if (tooSlow(job, *others.front()) && holderCouldMakeRoom(job, zones)) return nullptr;
+  } else {
+    std::sort(others.begin(), others.end(), better);
+  }
   auto picked = policy::sample(owned.size(), settings_.tuning.sample, rng_);
   policy::Peek peek;
   double withRoom = 0, holding = 0;
@@ -240,7 +290,6 @@
 
 // Stops what may be stopped for those who found no room, in their order, least lost work first.
 void Scheduler::makeRoom(const std::vector<Ranked>& blocked) {
-  auto now = io_.now();
   std::map<HostId, Resources> room;  // free now or soon, less what is spoken for
   for (auto& [id, h] : books_.hosts())
     if (usable(h)) room[id] = h.free() + h.leavingRoom();
@@ -261,22 +310,9 @@
       std::vector<TaskId> bestTasks;
       for (auto& [id, h] : books_.hosts()) {
         if (!allowed(job, h, zones)) continue;
-        std::vector<policy::Victim> offered;
-        std::vector<TaskId> tasks;
-        for (const auto& [task, p] : h.placements) {
-          const auto& other = *p.job->spec;
-          const Team* t = settings_.team(other.team);
-          bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - 1e-6;
-          if (!p.wanted ||
-              !policy::mayStop(spec.rank, r.c.guaranteed, other.team == spec.team, other.rank, above))
-            continue;
-          double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
-          if (other.snapshotEveryS > 0) ran = std::min(ran, other.snapshotEveryS);
-          if (other.shape == Shape::Service) ran += kServiceLoss;
-          offered.push_back({other.each, ran});
-          tasks.push_back(task);
-        }
+        auto [offered, tasks] = victims(job, r.c.guaranteed, h);
         auto e = policy::evict(room[id], spec.each, offered);
+        if (e && tooSlow(job, h)) e->lost += kSlowStart;
         if (e && (!cheapest || e->lost < cheapest->lost)) {
           cheapest = e;
           best = &h;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -70,12 +70,22 @@
 
 Duration Settings::grace() const { return seconds(cancelS - leaseS) - margin() - holdTtl(); }
 
-std::optional<double> Settings::tightest(const std::string& jobClass) const {
+namespace {
+std::optional<double> tightest(const std::vector<TimeAim>& aims, const std::string& jobClass) {
   std::optional<double> best;
   for (const auto& a : aims)
     if (a.jobClass == jobClass && (!best || a.withinS < *best)) best = a.withinS;
   return best;
 }
+}  // namespace
+
+std::optional<double> Settings::finishWithin(const std::string& jobClass) const {
+  return tightest(finishAims, jobClass);
+}
+
+std::optional<double> Settings::startWithin(const std::string& jobClass) const {
+  return tightest(startAims, jobClass);
+}
 
 const Team* Settings::team(const TeamId& name) const {
   auto it = std::lower_bound(teams.begin(), teams.end(), name,
@@ -124,11 +134,16 @@
                        number(t, "gpus", 0, big), number(t, "gpus_max", 0, big)});
   std::sort(s.teams.begin(), s.teams.end(), [](const Team& a, const Team& b) { return a.name < b.name; });
   // Aims only guide the order of work: what is not understood is left out.
-  if (d.contains("objectives") && d.at("objectives").is_array())
-    for (const auto& o : d.at("objectives"))
-      if (o.is_object() && o.value("kind", json()) == "finished" && o.contains("class") && o.at("class").is_string() &&
-          o.contains("within_s") && o.at("within_s").is_number())
-        s.aims.push_back({o.at("class").get<std::string>(), o.at("within_s").get<double>()});
+  if (d.contains("objectives") && d.at("objectives").is_array()) {
+    for (const auto& o : d.at("objectives")) {
+      if (!o.is_object() || !o.contains("class") || !o.at("class").is_string()) continue;
+      if (!o.contains("within_s") || !o.at("within_s").is_number()) continue;
+      TimeAim aim{o.at("class").get<std::string>(), o.at("within_s").get<double>()};
+      auto kind = o.value("kind", json());
+      if (kind == "finished") s.finishAims.push_back(aim);
+      if (kind == "wait") s.startAims.push_back(aim);
+    }
+  }
   const auto& w = object(d, "workers");
   s.reportS = number(w, "report_s", 0.001, 3600);
   s.leaseS = number(w, "lease_s", 0.001, 86400);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -34,8 +34,8 @@
   double cores = 0, coresMax = 0, gpus = 0, gpusMax = 0;
 };
 
-// "This share of the jobs of a class should be done so long after their submission."
-struct FinishAim {
+// "This share of the jobs of a class should be done", or their tasks started, "so long after submission."
+struct TimeAim {
   std::string jobClass;
   double withinS = 0;
 };
@@ -59,7 +59,7 @@
   Address state;
   std::vector<Zone> zones;
   std::vector<Team> teams;  // sorted by name
-  std::vector<FinishAim> aims;
+  std::vector<TimeAim> finishAims, startAims;
   double reportS = 3, leaseS = 45, cancelS = 75;
   double stateRps = 100, stateWriteRps = 50;
   std::size_t valueBytes = 4096;
@@ -78,8 +78,9 @@
   Duration grace() const;
   Duration margin() const;
   ShareNo shareOfTeam(const TeamId& team) const;
-  // The shortest time within which jobs of the class should be done, if there is an aim for it.
-  std::optional<double> tightest(const std::string& jobClass) const;
+  // The shortest time within which jobs of the class should be done, or started, if there is an aim for it.
+  std::optional<double> finishWithin(const std::string& jobClass) const;
+  std::optional<double> startWithin(const std::string& jobClass) const;
   const Team* team(const TeamId& name) const;
   ShareNo homeShare(const NodeId& name) const;
 };
