--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -362,29 +362,35 @@
   }
 }
 
-// A machine that is to empty itself: arrays end by themselves, replicas are moved once there is room for them
-// on machines that have their image, so that they are back at once.
+// A machine that is to empty itself: arrays end by themselves, replicas are moved once all of them have a place to
+// go to. Only those that find their image there go, as they are back at once.
 void Scheduler::settleEmptying(Host& h) {
   if (!h.emptying || h.leaving || h.placements.empty()) return;  // once empty, the leader says where it goes
+  for (const auto& [_, p] : h.placements)
+    if (p.job->spec->shape != Shape::Service || !p.wanted) return;
+  for (const auto& [_, job] : books_.jobs())
+    if (job.open() && job.spec->shape == Shape::Service && job.running < job.tasks.size()) return;
   std::map<HostId, Resources> room;
   for (auto& [id, x] : books_.hosts())
     if (usable(x)) room[id] = x.free();
-  std::vector<TaskId> move;
+  std::vector<TaskId> ready;
   for (const auto& [task, p] : h.placements) {
     const auto& spec = *p.job->spec;
-    if (spec.shape != Shape::Service || !p.wanted) return;  // not yet
     auto zones = books_.zonesOf(*p.job);
     if (--zones[h.zone()] == 0) zones.erase(h.zone());
-    auto to = std::find_if(room.begin(), room.end(), [&](const auto& r) {
-      const Host& x = *books_.host(r.first);
-      return allowed(*p.job, x, zones) && x.images.has(spec.image) && spec.each.fitsIn(r.second);
-    });
-    if (to == room.end()) return;
-    to->second -= spec.each;
-    move.push_back(task);
+    Host* to = nullptr;
+    for (const auto& [id, free] : room) {
+      Host& x = *books_.host(id);
+      if (!allowed(*p.job, x, zones) || !spec.each.fitsIn(free)) continue;
+      if (!to || (x.images.has(spec.image) && !to->images.has(spec.image))) to = &x;
+    }
+    if (!to) return;  // not all of them have a place to go to
+    room[to->id] -= spec.each;
+    if (to->images.has(spec.image)) ready.push_back(task);
   }
-  log_->info("moving {} replicas off {}", move.size(), h.id.value);
-  for (const auto& task : move) stop(h, task, h.placements.at(task));
+  if (ready.empty()) return;
+  log_->info("moving {} replicas off {}", ready.size(), h.id.value);
+  for (const auto& task : ready) stop(h, task, h.placements.at(task));
   direct(h);
 }
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -160,6 +160,8 @@
 }
 
 std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS) {
+  // An idle machine will go first; nothing need be moved for it.
+  if (letGo(f, t, catalog, 0, coresOf(f))) return std::nullopt;
   auto have = capacityOf(f);
   std::optional<std::size_t> best;
   double bestGain = 0;
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -136,7 +136,8 @@
               0,
               {},
               {}};
-  if (r.status != JobStatus::Open) return r;
+  // An aborted job keeps its description: what it takes counts until its last task is known gone.
+  if (r.status != JobStatus::Open && !doc->contains("spec")) return r;
   auto chunk = countAt(*doc, "ch");
   auto at = countAt(*doc, "at");
   if (!chunk || *chunk == 0 || !at || !doc->contains("spec")) return std::nullopt;
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -49,7 +49,7 @@
   std::uint32_t tasks = 0;
   std::uint32_t chunk = 0;  // tasks per run/ key
   WallTime submitted;
-  std::optional<JobSpec> spec;  // kept while open
+  std::optional<JobSpec> spec;  // kept unless done
 };
 std::string encodeJobRecord(const JobRecord& r);
 std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value);
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -87,6 +87,9 @@
   EXPECT_EQ(encodeJobRecord(*back), encodeJobRecord(r));
   EXPECT_EQ(back->spec->zone, spec.zone);
   EXPECT_EQ(back->spec->each.ram, 64);
+  r.status = JobStatus::Aborted;
+  back = parseJobRecord(spec.id, encodeJobRecord(r));
+  EXPECT_TRUE(back && back->spec);
   JobRecord done{JobStatus::Done, ShareNo{2}, 16, 0, {}, {}};
   back = parseJobRecord(spec.id, encodeJobRecord(done));
   ASSERT_TRUE(back);
