--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -259,6 +259,7 @@
     bool boots = type && age < kLateBoot * type->bootS + 5;
     if (it != shown.end()) {
       h.emptying = it->second->emptying;
+      h.pinned = it->second->pinned;
       h.ageS = it->second->ageS;
     }
     if (it != shown.end() && h.emptying) {
@@ -354,7 +355,7 @@
   while (auto wish = policy::rent(planned, t, prices_, unavailable())) {
     if (calls_ < 1) break;
     startRental(k, *wish);
-    planned.hosts.push_back({wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1, 0, 0, false});
+    planned.hosts.push_back({wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1, 0, 0, false, false});
   }
   if (wished) return;
   if (auto small = policy::replacement(f, t, prices_, unavailable(), kMinAgeS); small && calls_ >= 1)
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -81,6 +81,7 @@
   void watchSilence(Host& h, Time now);
   void settleLeaving(Host& h);
   void settleEmptying(Host& h);
+  std::optional<std::vector<TaskId>> movableReplicas(const Host& h) const;
   void writeHost(Host& h, wire::HostRecord record, bool newToken);
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -362,35 +362,40 @@
   }
 }
 
-// A machine that is to empty itself: arrays end by themselves, replicas are moved once all of them have a place to
-// go to. Only those that find their image there go, as they are back at once.
-void Scheduler::settleEmptying(Host& h) {
-  if (!h.emptying || h.leaving || h.placements.empty()) return;  // once empty, the leader says where it goes
-  for (const auto& [_, p] : h.placements)
-    if (p.job->spec->shape != Shape::Service || !p.wanted) return;
-  for (const auto& [_, job] : books_.jobs())
-    if (job.open() && job.spec->shape == Shape::Service && job.running < job.tasks.size()) return;
+// The machine's replicas, if all of them could move to machines that have their image and so be back at once.
+std::optional<std::vector<TaskId>> Scheduler::movableReplicas(const Host& h) const {
   std::map<HostId, Resources> room;
-  for (auto& [id, x] : books_.hosts())
-    if (usable(x)) room[id] = x.free();
-  std::vector<TaskId> ready;
+  for (const auto& [id, x] : books_.hosts())
+    if (id != h.id && usable(x)) room[id] = x.free();
+  std::vector<TaskId> move;
   for (const auto& [task, p] : h.placements) {
     const auto& spec = *p.job->spec;
+    if (spec.shape != Shape::Service) continue;
     auto zones = books_.zonesOf(*p.job);
     if (--zones[h.zone()] == 0) zones.erase(h.zone());
-    Host* to = nullptr;
-    for (const auto& [id, free] : room) {
-      Host& x = *books_.host(id);
-      if (!allowed(*p.job, x, zones) || !spec.each.fitsIn(free)) continue;
-      if (!to || (x.images.has(spec.image) && !to->images.has(spec.image))) to = &x;
-    }
-    if (!to) return;  // not all of them have a place to go to
-    room[to->id] -= spec.each;
-    if (to->images.has(spec.image)) ready.push_back(task);
+    auto to = std::find_if(room.begin(), room.end(), [&](const auto& r) {
+      const Host& x = books_.hosts().at(r.first);
+      return allowed(*p.job, x, zones) && x.images.has(spec.image) && spec.each.fitsIn(r.second);
+    });
+    if (to == room.end()) return std::nullopt;
+    to->second -= spec.each;
+    move.push_back(task);
+  }
+  return move;
+}
+
+// A machine that is to empty itself: arrays end by themselves, then replicas are moved.
+void Scheduler::settleEmptying(Host& h) {
+  if (!h.emptying || h.leaving || h.placements.empty()) return;  // once empty, the leader says where it goes
+  for (const auto& [_, p] : h.placements)
+    if (p.job->spec->shape != Shape::Service || !p.wanted) return;
+  auto move = movableReplicas(h);
+  if (!move) {
+    h.emptying = false;
+    return;
   }
-  if (ready.empty()) return;
-  log_->info("moving {} replicas off {}", ready.size(), h.id.value);
-  for (const auto& task : ready) stop(h, task, h.placements.at(task));
+  log_->info("moving {} replicas off {}", move->size(), h.id.value);
+  for (const auto& task : *move) stop(h, task, h.placements.at(task));
   direct(h);
 }
 
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -74,10 +74,11 @@
   bool usable = false;
   bool draining = false;
   bool emptying = false;
+  bool pinned = false;  // replicas on it have nowhere to go
   double ageS = 0;
   template <class A>
   void serialize(A& a) {
-    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, ageS);
+    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, pinned, ageS);
   }
 };
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -126,7 +126,7 @@
   auto have = capacityOf(f);
   for (const auto& h : f.hosts) {
     const auto* type = findType(catalog, h.type);
-    if (h.spot || !h.counts || !type || h.ageS < minAgeS) continue;
+    if (h.spot || h.pinned || !h.counts || !type || h.ageS < minAgeS) continue;
     double missing = std::max(t.ordinary - (have.ordinary - h.cores),
                               (1 + kSurplus) * t.total - (have.ordinary + have.spot - h.cores));
     if (missing <= kEnough) continue;
@@ -167,7 +167,7 @@
   double bestGain = 0;
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
-    if (!h.counts || h.emptying || h.idleS >= 0 || h.ageS < minAgeS) continue;
+    if (!h.counts || h.emptying || h.pinned || h.idleS >= 0 || h.ageS < minAgeS) continue;
     if (have.ordinary + have.spot - h.cores < (1 + kSurplus) * (h.spot ? t.ample : t.total)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
     const auto* type = findType(catalog, h.type);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -30,6 +30,7 @@
   double usedCores = 0;
   double ageS = 0;
   bool emptying = false;
+  bool pinned = false;  // can't be emptied now
 };
 
 struct ShareFleet {
