--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -322,9 +322,63 @@
     spare += policy::coresOf(f) - targets[k].ample;
     burst = std::max(burst, f.lendable.largestJob);
   }
+  rentInTurn(fleets, targets);
+  cede(fleets, targets);
   for (const auto& [k, f] : fleets) planShare(k, f, targets[k], spare - burst);
 }
 
+// One rental for each share in turn, the most pressed first, so that the first in line does not take all there is.
+void Fleet::rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                       const std::map<ShareNo, policy::Targets>& targets) {
+  auto planned = fleets;
+  auto offers = unavailable();
+  for (bool any = true; any && calls_ >= 1;) {
+    any = false;
+    for (auto k : byPressure(planned, targets)) {
+      auto& f = planned[k];
+      bool keeps = std::any_of(f.hosts.begin(), f.hosts.end(), [](const auto& h) { return h.emptying; });
+      if (calls_ < 1 || (keeps && policy::isShort(f, targets.at(k)))) continue;  // planShare keeps that one
+      auto wish = policy::rent(f, targets.at(k), prices_, offers);
+      if (!wish) continue;
+      startRental(k, *wish);
+      f.hosts.push_back(
+          {wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1, 0, 0, false, false});
+      any = true;
+    }
+  }
+}
+
+std::vector<ShareNo> Fleet::byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                                       const std::map<ShareNo, policy::Targets>& targets) const {
+  std::vector<ShareNo> out;
+  for (const auto& [k, _] : fleets) out.push_back(k);
+  std::stable_sort(out.begin(), out.end(), [&](ShareNo a, ShareNo b) {
+    return policy::pressure(fleets.at(a), targets.at(a)) > policy::pressure(fleets.at(b), targets.at(b));
+  });
+  return out;
+}
+
+// When the cloud has no more, the least pressed share cedes a machine to the most pressed one.
+void Fleet::cede(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                 const std::map<ShareNo, policy::Targets>& targets) {
+  auto order = byPressure(fleets, targets);
+  if (order.size() < 2) return;
+  auto poor = order.front(), rich = order.back();
+  const auto& p = fleets.at(poor);
+  const auto& r = fleets.at(rich);
+  bool full = !policy::rent(p, targets.at(poor), prices_, unavailable());
+  if (!full || !policy::isShort(p, targets.at(poor))) return;
+  auto i = policy::toCede(r, targets.at(rich), p, targets.at(poor));
+  if (!i) return;
+  const auto& want = r.hosts[*i];
+  for (auto& h : loads_[rich].load.hosts) {
+    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.ageS != want.ageS) continue;
+    h.emptying = h.ceding = true;
+    log_->info("share {} cedes {} to {}", rich.value, h.host, poor.value);
+    return out_.wish({rich.value, h.host, mesh::HostWish::Cede, poor.value});
+  }
+}
+
 void Fleet::planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot) {
   auto now = io_.now();
   if (log_->should_log(spdlog::level::debug)) {
@@ -339,25 +393,20 @@
     auto& asked = asked_[HostId{h.host}];
     if (asked != Time{} && now - asked < kAskAgain) continue;
     asked = now;
-    out_.wish({k.value, h.host, mesh::HostWish::Return, 0});
+    // One that was ceded and that nobody needs any more stays.
+    out_.wish({k.value, h.host, h.ceding ? mesh::HostWish::Keep : mesh::HostWish::Return, 0});
   }
-  auto planned = f;
-  bool wished = policy::rent(f, t, prices_, unavailable()).has_value();
   if (policy::isShort(f, t)) {
     // A machine that was to empty itself is back at once, and paid for already.
     auto& hosts = loads_[k].load.hosts;
-    auto kept = std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying && h.idleS <= 0; });
+    auto kept = std::find_if(hosts.begin(), hosts.end(),
+                             [](const auto& h) { return h.emptying && !h.ceding && h.idleS <= 0; });
     if (kept != hosts.end()) {
       kept->emptying = false;
-      return out_.wish({k.value, kept->host, mesh::HostWish::Keep, 0});
+      out_.wish({k.value, kept->host, mesh::HostWish::Keep, 0});
     }
+    return;
   }
-  while (auto wish = policy::rent(planned, t, prices_, unavailable())) {
-    if (calls_ < 1) break;
-    startRental(k, *wish);
-    planned.hosts.push_back({wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1, 0, 0, false, false});
-  }
-  if (wished) return;
   if (auto small = policy::replacement(f, t, prices_, unavailable(), kMinAgeS); small && calls_ >= 1)
     return startRental(k, *small);
   auto go = policy::letGo(f, t, prices_, kMinIdleS, spareSpot);
@@ -393,7 +442,8 @@
 void Fleet::move(const std::map<ShareNo, policy::ShareFleet>& fleets,
                  const std::map<ShareNo, policy::Targets>& targets, bool beat) {
   auto now = io_.now();
-  for (const auto& [to, need] : fleets) {
+  for (auto to : byPressure(fleets, targets)) {
+    const auto& need = fleets.at(to);
     double missing = need.firm.waiting + need.lendable.waiting;
     for (const auto& [from, spare] : fleets) {
       if (from == to) continue;
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -49,6 +49,11 @@
   void returnMarked();
   void plan();
   void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot);
+  void rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                  const std::map<ShareNo, policy::Targets>& targets);
+  std::vector<ShareNo> byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                                  const std::map<ShareNo, policy::Targets>& targets) const;
+  void cede(const std::map<ShareNo, policy::ShareFleet>& fleets, const std::map<ShareNo, policy::Targets>& targets);
   void emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
   void move(const std::map<ShareNo, policy::ShareFleet>& fleets, const std::map<ShareNo, policy::Targets>& targets,
             bool beat);
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -349,11 +349,14 @@
   if (!loaded_ || !owns() || !h || h->leaving) return;
   switch (w.kind) {
     case mesh::HostWish::Keep:
-      h->emptying = false;
+      h->emptying = h->ceding = false;
       return wake(true);
     case mesh::HostWish::Empty:
       h->emptying = true;
       return;
+    case mesh::HostWish::Cede:
+      h->emptying = h->ceding = true;
+      return;
     default:
       if (!h->placements.empty()) return;
       h->leaving = true;
@@ -391,7 +394,7 @@
     if (p.job->spec->shape != Shape::Service || !p.wanted) return;
   auto move = movableReplicas(h);
   if (!move) {
-    h.emptying = false;
+    h.emptying = h.ceding = false;
     return;
   }
   log_->info("moving {} replicas off {}", move->size(), h.id.value);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -210,7 +210,7 @@
 // Room is short: machines that were to empty themselves take work again. True if there were any.
 bool Scheduler::keepEmptying() {
   bool any = false;
-  for (auto& [_, h] : books_.hosts()) any |= !h.leaving && std::exchange(h.emptying, false);
+  for (auto& [_, h] : books_.hosts()) any |= !h.leaving && !h.ceding && std::exchange(h.emptying, false);
   return any;
 }
 
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -74,11 +74,12 @@
   bool usable = false;
   bool draining = false;
   bool emptying = false;
+  bool ceding = false;
   bool pinned = false;  // replicas on it have nowhere to go
   double ageS = 0;
   template <class A>
   void serialize(A& a) {
-    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, pinned, ageS);
+    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, ceding, pinned, ageS);
   }
 };
 
@@ -116,7 +117,8 @@
   enum Kind : std::int32_t {
     Return,  // back to the cloud if it is idle
     Move,    // to another share if it is idle
-    Empty,   // takes no more work and goes back once what ends by itself has ended
+    Empty,   // takes no more work and goes once what ends by itself has ended, unless room gets short
+    Cede,    // the same for another share's need, whatever room this one has
     Keep,    // takes work again after all
   };
   std::uint32_t share = 0;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -120,6 +120,25 @@
   return c.ordinary + c.spot;
 }
 
+double pressure(const ShareFleet& f, const Targets& t) { return t.total / std::max(coresOf(f), 1.0); }
+
+std::optional<std::size_t> toCede(const ShareFleet& rich, const Targets& richT, const ShareFleet& poor,
+                                  const Targets& poorT) {
+  for (const auto& h : rich.hosts)
+    if (h.emptying) return std::nullopt;  // one at a time
+  auto have = capacityOf(rich);
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < rich.hosts.size(); ++i) {
+    const auto& h = rich.hosts[i];
+    if (!h.counts || h.pinned || (h.spot && poor.lendable.waiting <= 0)) continue;
+    if (!h.spot && have.ordinary - h.cores < richT.ordinary) continue;
+    double after = richT.total / std::max(coresOf(rich) - h.cores, 1.0);
+    if (after > poorT.total / (coresOf(poor) + h.cores)) continue;
+    if (!best || h.usedCores < rich.hosts[*best].usedCores) best = i;
+  }
+  return best;
+}
+
 std::optional<Wish> replacement(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                                 const std::set<Offer>& unavailable, double minAgeS) {
   constexpr double worthIt = 0.6;  // of the price, at most
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -72,6 +72,11 @@
 std::optional<Wish> replacement(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                                 const std::set<Offer>& unavailable, double minAgeS);
 double coresOf(const ShareFleet& f);
+// How much of what a share wants it lacks: 1 is balance.
+double pressure(const ShareFleet& f, const Targets& t);
+// A machine of the rich share that would leave it no worse off than the poor one is then.
+std::optional<std::size_t> toCede(const ShareFleet& rich, const Targets& richT, const ShareFleet& poor,
+                                  const Targets& poorT);
 
 // Index of a busy machine that should take no more work, as the others have room enough for all.
 std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS);
