--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -97,7 +97,6 @@
   std::optional<Time> reclaimAt;
 
   bool emptying = false;  // takes no more work, and goes when it is empty unless room gets short
-  bool ceding = false;    // the same, but stays so
   bool leaving = false;   // takes no more work: to be given up
   bool recordBusy = false;
   std::optional<std::int32_t> giveTo;  // share, or -1 for the cloud
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -15,8 +15,8 @@
 constexpr double kNeverUpPlusS = 20;
 constexpr double kLateBoot = 2.0;  // boot times after which it is no longer counted on
 constexpr double kMinIdleS = 10;
-constexpr double kMinAgeS = 60;       // what the cloud charges at least
-constexpr double kSettleS = 5;  // a new leader looks before it acts
+constexpr double kMinAgeS = 60;  // what the cloud charges at least
+constexpr double kSettleS = 5;   // a new leader looks before it acts
 constexpr std::size_t kMostReturns = 100;
 }  // namespace
 
@@ -323,11 +323,11 @@
     burst = std::max(burst, f.lendable.largestJob);
   }
   rentInTurn(fleets, targets);
-  cede(fleets, targets);
   for (const auto& [k, f] : fleets) planShare(k, f, targets[k], spare - burst);
 }
 
-// One rental for each share in turn, the most pressed first, so that the first in line does not take all there is.
+// One rental for each share in turn, the most pressed first, so that the first in line does not take all
+// there is.
 void Fleet::rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
                        const std::map<ShareNo, policy::Targets>& targets) {
   auto planned = fleets;
@@ -358,27 +358,6 @@
   return out;
 }
 
-// When the cloud has no more, the least pressed share cedes a machine to the most pressed one.
-void Fleet::cede(const std::map<ShareNo, policy::ShareFleet>& fleets,
-                 const std::map<ShareNo, policy::Targets>& targets) {
-  auto order = byPressure(fleets, targets);
-  if (order.size() < 2) return;
-  auto poor = order.front(), rich = order.back();
-  const auto& p = fleets.at(poor);
-  const auto& r = fleets.at(rich);
-  bool full = !policy::rent(p, targets.at(poor), prices_, unavailable());
-  if (!full || !policy::isShort(p, targets.at(poor))) return;
-  auto i = policy::toCede(r, targets.at(rich), p, targets.at(poor));
-  if (!i) return;
-  const auto& want = r.hosts[*i];
-  for (auto& h : loads_[rich].load.hosts) {
-    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.ageS != want.ageS) continue;
-    h.emptying = h.ceding = true;
-    log_->info("share {} cedes {} to {}", rich.value, h.host, poor.value);
-    return out_.wish({rich.value, h.host, mesh::HostWish::Cede, poor.value});
-  }
-}
-
 void Fleet::planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot) {
   auto now = io_.now();
   if (log_->should_log(spdlog::level::debug)) {
@@ -393,14 +372,13 @@
     auto& asked = asked_[HostId{h.host}];
     if (asked != Time{} && now - asked < kAskAgain) continue;
     asked = now;
-    // One that was ceded and that nobody needs any more stays.
-    out_.wish({k.value, h.host, h.ceding ? mesh::HostWish::Keep : mesh::HostWish::Return, 0});
+    out_.wish({k.value, h.host, mesh::HostWish::Return, 0});
   }
   if (policy::isShort(f, t)) {
     // A machine that was to empty itself is back at once, and paid for already.
     auto& hosts = loads_[k].load.hosts;
-    auto kept = std::find_if(hosts.begin(), hosts.end(),
-                             [](const auto& h) { return h.emptying && !h.ceding && h.idleS <= 0; });
+    auto kept =
+        std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying && h.idleS <= 0; });
     if (kept != hosts.end()) {
       kept->emptying = false;
       out_.wish({k.value, kept->host, mesh::HostWish::Keep, 0});
@@ -430,7 +408,8 @@
   if (!busy) return;
   const auto& want = f.hosts[*busy];
   for (auto& h : loads_[k].load.hosts) {
-    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.ageS != want.ageS) continue;
+    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.ageS != want.ageS)
+      continue;
     h.emptying = true;
     log_->info("share {} empties {}", k.value, h.host);
     return out_.wish({k.value, h.host, mesh::HostWish::Empty, 0});
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -53,10 +53,9 @@
                   const std::map<ShareNo, policy::Targets>& targets);
   std::vector<ShareNo> byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
                                   const std::map<ShareNo, policy::Targets>& targets) const;
-  void cede(const std::map<ShareNo, policy::ShareFleet>& fleets, const std::map<ShareNo, policy::Targets>& targets);
   void emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
-  void move(const std::map<ShareNo, policy::ShareFleet>& fleets, const std::map<ShareNo, policy::Targets>& targets,
-            bool beat);
+  void move(const std::map<ShareNo, policy::ShareFleet>& fleets,
+            const std::map<ShareNo, policy::Targets>& targets, bool beat);
   void startRental(ShareNo k, const policy::Wish& wish);
   policy::ShareFleet fleetOf(ShareNo k) const;
   std::set<policy::Offer> unavailable() const;
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -202,7 +202,8 @@
     guest = {*owner, now, now, returned ? guest.steered : Time{}};
   }
   guest.last = now;
-  bool steer = now - guest.since > kRelayFirst && (guest.steered == Time{} || now - guest.steered > kSteerAgain);
+  bool steer =
+      now - guest.since > kRelayFirst && (guest.steered == Time{} || now - guest.steered > kSteerAgain);
   if (steer && peers_.hears(peers_.numberOf(*owner))) {
     guest.steered = now;
     return done({421, wire::encodeOwner(*owner), true, 0});
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -467,10 +467,10 @@
   }
   for (auto& [id, h] : books_.hosts()) {
     double idle = h.placements.empty() ? inSeconds(now - h.idleSince) : 0;
-    load.hosts.push_back({id.value, h.known.record.type, h.zone().value, h.spot(), h.free().cores, idle,
-                          usable(h),
-                          h.leaving || h.reclaimAt || h.known.record.phase != wire::HostPhase::InUse, h.emptying, h.ceding, !movableReplicas(h),
-                          static_cast<double>(io_.wall().value - h.known.record.since.value) / 1000.0});
+    load.hosts.push_back(
+        {id.value, h.known.record.type, h.zone().value, h.spot(), h.free().cores, idle, usable(h),
+         h.leaving || h.reclaimAt || h.known.record.phase != wire::HostPhase::InUse, h.emptying,
+         !movableReplicas(h), static_cast<double>(io_.wall().value - h.known.record.since.value) / 1000.0});
   }
   out_.load(load);
 }
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -24,9 +24,9 @@
 }  // namespace
 
 bool Scheduler::usable(const Host& h) const {
-  return h.heard && !h.leaving && !h.emptying && !h.reclaimAt && h.known.record.phase == wire::HostPhase::InUse &&
-         h.settled() && io_.now() - h.lastHeard < seconds(settings_.reportS * kFreshReports) &&
-         h.size.cores > 0;
+  return h.heard && !h.leaving && !h.emptying && !h.reclaimAt &&
+         h.known.record.phase == wire::HostPhase::InUse && h.settled() &&
+         io_.now() - h.lastHeard < seconds(settings_.reportS * kFreshReports) && h.size.cores > 0;
 }
 
 Scheduler::CheckInAnswer Scheduler::checkIn(const wire::Report& r) {
@@ -349,14 +349,11 @@
   if (!loaded_ || !owns() || !h || h->leaving) return;
   switch (w.kind) {
     case mesh::HostWish::Keep:
-      h->emptying = h->ceding = false;
+      h->emptying = false;
       return wake(true);
     case mesh::HostWish::Empty:
       h->emptying = true;
       return;
-    case mesh::HostWish::Cede:
-      h->emptying = h->ceding = true;
-      return;
     default:
       if (!h->placements.empty()) return;
       h->leaving = true;
@@ -394,7 +391,7 @@
     if (p.job->spec->shape != Shape::Service || !p.wanted) return;
   auto move = movableReplicas(h);
   if (!move) {
-    h.emptying = h.ceding = false;
+    h.emptying = false;
     return;
   }
   log_->info("moving {} replicas off {}", move->size(), h.id.value);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -11,7 +11,7 @@
 
 constexpr unsigned kTurn = 8;                 // tasks a job is given before the next in line has its turn
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
-constexpr double kSlowStart = 1e6;         // core seconds that a start too slow for its aim counts as
+constexpr double kSlowStart = 1e6;            // core seconds that a start too slow for its aim counts as
 constexpr double kServiceLoss = 600;          // seconds of work that moving a replica counts as
 
 double fetchS(const Host& h, const JobSpec& job) {
@@ -100,7 +100,8 @@
   }
   drawEverywhere_ = false;
   drawAt_.clear();
-  bool roomless = std::any_of(blocked.begin(), blocked.end(), [&](const Ranked& r) { return !anyRoom(*r.job); });
+  bool roomless =
+      std::any_of(blocked.begin(), blocked.end(), [&](const Ranked& r) { return !anyRoom(*r.job); });
   if (roomless && keepEmptying()) return wake(true);
   makeRoom(blocked);
   if (!list.empty()) drawEverywhere_ = true;  // these had no turn yet
@@ -179,7 +180,8 @@
 }
 
 // Tasks that the job may stop on the machine, and what they are.
-std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(const Job& job, bool guaranteed,
+std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(const Job& job,
+                                                                               bool guaranteed,
                                                                                const Host& h) const {
   auto now = io_.now();
   std::vector<policy::Victim> offered;
@@ -203,14 +205,15 @@
   return std::any_of(books_.hosts().begin(), books_.hosts().end(), [&](const auto& x) {
     const Host& h = x.second;
     if (!h.images.has(job.spec->image) || !allowed(job, h, zones)) return false;
-    return policy::evict(h.free() + h.leavingRoom(), job.spec->each, victims(job, false, h).first).has_value();
+    return policy::evict(h.free() + h.leavingRoom(), job.spec->each, victims(job, false, h).first)
+        .has_value();
   });
 }
 
 // Room is short: machines that were to empty themselves take work again. True if there were any.
 bool Scheduler::keepEmptying() {
   bool any = false;
-  for (auto& [_, h] : books_.hosts()) any |= !h.leaving && !h.ceding && std::exchange(h.emptying, false);
+  for (auto& [_, h] : books_.hosts()) any |= !h.leaving && std::exchange(h.emptying, false);
   return any;
 }
 
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -74,12 +74,11 @@
   bool usable = false;
   bool draining = false;
   bool emptying = false;
-  bool ceding = false;
   bool pinned = false;  // replicas on it have nowhere to go
   double ageS = 0;
   template <class A>
   void serialize(A& a) {
-    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, ceding, pinned, ageS);
+    a(host, type, zone, spot, freeCores, idleS, usable, draining, emptying, pinned, ageS);
   }
 };
 
@@ -118,7 +117,6 @@
     Return,  // back to the cloud if it is idle
     Move,    // to another share if it is idle
     Empty,   // takes no more work and goes once what ends by itself has ended, unless room gets short
-    Cede,    // the same for another share's need, whatever room this one has
     Keep,    // takes work again after all
   };
   std::uint32_t share = 0;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -7,8 +7,8 @@
 namespace cherryloft::policy {
 namespace {
 
-constexpr double kEnough = 0.5;    // cores
-constexpr double kSurplus = 0.1;   // share of the total that must be left over before a machine empties itself
+constexpr double kEnough = 0.5;   // cores
+constexpr double kSurplus = 0.1;  // share of the total that must be left over before a machine empties itself
 
 struct Capacity {
   double ordinary = 0, spot = 0;
@@ -122,23 +122,6 @@
 
 double pressure(const ShareFleet& f, const Targets& t) { return t.total / std::max(coresOf(f), 1.0); }
 
-std::optional<std::size_t> toCede(const ShareFleet& rich, const Targets& richT, const ShareFleet& poor,
-                                  const Targets& poorT) {
-  for (const auto& h : rich.hosts)
-    if (h.emptying) return std::nullopt;  // one at a time
-  auto have = capacityOf(rich);
-  std::optional<std::size_t> best;
-  for (std::size_t i = 0; i < rich.hosts.size(); ++i) {
-    const auto& h = rich.hosts[i];
-    if (!h.counts || h.pinned || (h.spot && poor.lendable.waiting <= 0)) continue;
-    if (!h.spot && have.ordinary - h.cores < richT.ordinary) continue;
-    double after = richT.total / std::max(coresOf(rich) - h.cores, 1.0);
-    if (after > poorT.total / (coresOf(poor) + h.cores)) continue;
-    if (!best || h.usedCores < rich.hosts[*best].usedCores) best = i;
-  }
-  return best;
-}
-
 std::optional<Wish> replacement(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                                 const std::set<Offer>& unavailable, double minAgeS) {
   constexpr double worthIt = 0.6;  // of the price, at most
@@ -159,8 +142,8 @@
   return std::nullopt;
 }
 
-std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minIdleS,
-                                 double spareSpot) {
+std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                 double minIdleS, double spareSpot) {
   auto have = capacityOf(f);
   std::optional<std::size_t> best;
   double bestPrice = 0;
@@ -178,7 +161,8 @@
   return best;
 }
 
-std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS) {
+std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                   double minAgeS) {
   // An idle machine will go first; nothing need be moved for it.
   if (letGo(f, t, catalog, 0, coresOf(f))) return std::nullopt;
   auto have = capacityOf(f);
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -14,7 +14,7 @@
   double used = 0, waiting = 0;  // cores
   double arriving = 0;           // cores per second of late
   double largestTask = 0;
-  double largestJob = 0;          // of those that came of late
+  double largestJob = 0;  // of those that came of late
   double ramPerCore = 0;
   std::vector<std::string> types;  // empty: any
   std::vector<Zone> stuckZones;    // where machines are missing for tasks that may go nowhere else
@@ -66,19 +66,17 @@
 
 // Index of an idle machine that may go, the dearest first; nothing if all are needed. Of spot machines,
 // spareSpot cores in all may go.
-std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minIdleS,
-                                 double spareSpot);
+std::optional<std::size_t> letGo(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                 double minIdleS, double spareSpot);
 // A small ordinary machine to put in the place of a large one that little runs on.
 std::optional<Wish> replacement(const ShareFleet& f, const Targets& t, const Catalog& catalog,
                                 const std::set<Offer>& unavailable, double minAgeS);
 double coresOf(const ShareFleet& f);
 // How much of what a share wants it lacks: 1 is balance.
 double pressure(const ShareFleet& f, const Targets& t);
-// A machine of the rich share that would leave it no worse off than the poor one is then.
-std::optional<std::size_t> toCede(const ShareFleet& rich, const Targets& richT, const ShareFleet& poor,
-                                  const Targets& poorT);
 
 // Index of a busy machine that should take no more work, as the others have room enough for all.
-std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog, double minAgeS);
+std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                   double minAgeS);
 
 }  // namespace cherryloft::policy
