--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -11,7 +11,7 @@
 
 constexpr unsigned kTurn = 8;                 // tasks a job is given before the next in line has its turn
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
-constexpr double kSlowStart = 1e6;            // core seconds that a start too slow for its aim counts as
+constexpr double kSlowStart = 100;  // core seconds of work that a start in time for its aim is worth
 constexpr double kServiceLoss = 600;          // seconds of work that moving a replica counts as
 
 double fetchS(const Host& h, const JobSpec& job) {
@@ -205,8 +205,8 @@
   return std::any_of(books_.hosts().begin(), books_.hosts().end(), [&](const auto& x) {
     const Host& h = x.second;
     if (!h.images.has(job.spec->image) || !allowed(job, h, zones)) return false;
-    return policy::evict(h.free() + h.leavingRoom(), job.spec->each, victims(job, false, h).first)
-        .has_value();
+    auto e = policy::evict(h.free() + h.leavingRoom(), job.spec->each, victims(job, false, h).first);
+    return e && e->lost <= kSlowStart;
   });
 }
 
