Round: no taking turns between a waiting job and what the same round placed; machines dealt out by size

Cause: a job waiting for room on holders stopped, every 65 ms, a task placed in the room it had refused; for seconds this used up the store budget (submissions refused, adoptions retried). No scenario reproduces the turn-taking yet.

--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -40,6 +40,7 @@
   std::set<HostId> failedOn;
   unsigned failures = 0;  // in a row
   Time notBefore{};
+  Time anyStartUntil{};  // till then it does not wait for room on machines that have its image
 
   bool open() const { return status == JobStatus::Open && !abortAsked; }
   Resources unfinished() const { return spec->each * static_cast<double>(tasks.size() - done); }
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -1,6 +1,7 @@
 #include "actors/fleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cherryloft {
 namespace {
@@ -11,6 +12,7 @@
 constexpr Duration kLoadStale{5'000};
 constexpr Duration kAskAgain{5'000};
 constexpr Duration kFirstRefusal{8'000}, kMostRefusal{30'000};
+constexpr Duration kAdoptTogether{1'000};
 constexpr double kNeverUp = 3.0;  // boot times after which a starting machine is given up
 constexpr double kNeverUpPlusS = 20;
 constexpr double kLateBoot = 2.0;  // boot times after which it is no longer counted on
@@ -43,6 +45,7 @@
   listing_.clear();
   loads_.clear();
   rentals_.clear();
+  waitingAdoption_.clear();
 }
 
 void Fleet::load(const mesh::ShareLoad& l) {
@@ -67,21 +70,23 @@
     calls_ -= 1;
     return true;
   };
-  auto pause = prices_.empty() ? Duration{1'000} : kCatalogEvery;
-  if (!catalogBusy_ && (catalogAt_ == Time{} || now - catalogAt_ >= pause) && afford()) fetchCatalog();
+  if (prices_.empty()) prices_ = dir_.catalog;  // until the cloud answers
+  if (!catalogBusy_ && (catalogAt_ == Time{} || now - catalogAt_ >= kCatalogEvery) && afford())
+    fetchCatalog();
   if (!listBusy_ && (listAt_ == Time{} || now - listAt_ >= kListEvery) && afford())
     listHosts("", std::make_shared<std::vector<wire::ListedHost>>());
   if (!returnBusy_ && afford()) returnMarked();
   reviewRecords();
+  adoptWaiting();
   if (!prices_.empty() && now - ledSince_ >= seconds(kSettleS)) plan();
 }
 
 void Fleet::fetchCatalog() {
   catalogBusy_ = true;
-  catalogAt_ = io_.now();
   call({"GET", "/catalog", "", false}, [this](HttpResult h) {
     catalogBusy_ = false;
     auto fresh = h.answered(200) ? wire::parseCatalog(h.response.body) : std::nullopt;
+    catalogAt_ = fresh ? io_.now() : io_.now() - kCatalogEvery + Duration{1'000};
     if (!fresh) return;
     prices_ = *fresh;
     if (leads_) saveCatalog(*fresh);
@@ -140,7 +145,7 @@
       bool settled = now - ledSince_ >= seconds(kSettleS);
       if (h.state != wire::ListedHost::State::Failed && returned_.count(h.id) == 0 && settled)
         adopt(h.id,
-              {neediest(), Epoch{}, wire::HostPhase::InUse, h.type, h.zone, h.spot, h.address, io_.wall()});
+              {ShareNo{}, Epoch{}, wire::HostPhase::InUse, h.type, h.zone, h.spot, h.address, io_.wall()});
       continue;
     }
     if (known->second.record.phase == wire::HostPhase::Returning) continue;
@@ -169,19 +174,39 @@
 }
 
 void Fleet::adopt(const HostId& id, wire::HostRecord record) {
-  if (!adopting_.insert(id).second) return;
-  log_->info("adopting {} for share {}", id.value, record.share.value);
-  const auto* type = findType(prices_, record.type);
-  adoptedCores_[id] = {record.share, type ? type->size.cores : 1};
-  store_.create({keys::host(id), wire::encodeHost(record), {}}, Duration{3'000}, [this, id](TxnResult) {
-    adopting_.erase(id);
-    adoptedCores_.erase(id);
-  });
+  if (adopting_.count(id) > 0) return;
+  if (waitingAdoption_.empty()) adoptAt_ = io_.now() + kAdoptTogether;
+  waitingAdoption_.emplace(id, std::move(record));
+}
+
+// Machines that turn up together are dealt out together, the small ones first, so that each share has some of
+// each size: services settle on the smallest.
+void Fleet::adoptWaiting() {
+  if (waitingAdoption_.empty() || io_.now() < adoptAt_) return;
+  std::vector<std::pair<double, HostId>> order;
+  for (const auto& [id, r] : waitingAdoption_) {
+    const auto* type = findType(prices_, r.type);
+    order.emplace_back(type ? type->size.cores : 1, id);
+  }
+  std::sort(order.begin(), order.end());
+  auto waiting = std::exchange(waitingAdoption_, {});
+  for (const auto& [cores, id] : order) {
+    auto record = waiting.at(id);
+    record.share = neediest(record.type);
+    adopting_.insert(id);
+    adoptedCores_[id] = {record.share, cores, record.type};
+    log_->info("adopting {} for share {}", id.value, record.share.value);
+    store_.create({keys::host(id), wire::encodeHost(record), {}}, Duration{3'000},
+                  [this, id = id](TxnResult) {
+                    adopting_.erase(id);
+                    adoptedCores_.erase(id);
+                  });
+  }
 }
 
 void Fleet::hostSeen(const wire::Report& r) {
   if (!leads_ || dir_.hosts.count(r.host) > 0 || returned_.count(r.host) > 0) return;
-  adopt(r.host, {neediest(), Epoch{}, wire::HostPhase::InUse, r.type, r.zone, r.spot, r.address, io_.wall()});
+  adopt(r.host, {ShareNo{}, Epoch{}, wire::HostPhase::InUse, r.type, r.zone, r.spot, r.address, io_.wall()});
 }
 
 void Fleet::markReturning(const HostId& id, const char* why) {
@@ -279,19 +304,22 @@
   return f;
 }
 
-ShareNo Fleet::neediest() const {
+// The share with the fewest machines of that type, and among those the one that lacks most.
+ShareNo Fleet::neediest(const std::string& type) const {
   ShareNo best{0};
   double bestGap = 0;
+  long bestSame = 0;
   for (std::uint32_t k = 0; k < settings_.size(); ++k) {
     auto f = fleetOf(ShareNo{k});
-    double have = 0, guaranteed = 0;
-    for (const auto& h : f.hosts) have += h.cores;
-    for (const auto& [_, a] : adoptedCores_) have += a.first == ShareNo{k} ? a.second : 0;
-    for (const auto& t : settings_.teams)
-      if (settings_.shareOfTeam(t.name) == ShareNo{k}) guaranteed += t.cores;
-    double gap =
-        f.firm.used + f.firm.waiting + f.lendable.used + f.lendable.waiting + 0.01 * guaranteed - have;
-    if (k == 0 || gap > bestGap) best = ShareNo{k}, bestGap = gap;
+    double gap = f.firm.used + f.firm.waiting + f.lendable.used + f.lendable.waiting;
+    long same = 0;
+    for (const auto& h : f.hosts) gap -= h.cores, same += h.type == type;
+    for (const auto& [_, a] : adoptedCores_)
+      if (a.share == ShareNo{k}) gap -= a.cores, same += a.type == type;
+    if (k > 0 && (same > bestSame || (same == bestSame && gap <= bestGap))) continue;
+    best = ShareNo{k};
+    bestGap = gap;
+    bestSame = same;
   }
   return best;
 }
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -45,6 +45,7 @@
   void listed(const std::vector<wire::ListedHost>& hosts);
   void reviewRecords();
   void adopt(const HostId& id, wire::HostRecord record);
+  void adoptWaiting();
   void markReturning(const HostId& id, const char* why);
   void returnMarked();
   void plan();
@@ -62,7 +63,7 @@
   void rent(std::shared_ptr<Rental> r);
   void rented(std::shared_ptr<Rental> r, const HttpResult& h);
   void record(const std::vector<HostId>& hosts, const Rental& r);
-  ShareNo neediest() const;
+  ShareNo neediest(const std::string& type) const;
 
   const Settings& settings_;
   Io& io_;
@@ -86,7 +87,14 @@
   std::map<HostId, Time> lastListed_;
   std::map<HostId, wire::ListedHost> listing_;
   std::set<HostId> marking_, adopting_;
-  std::map<HostId, std::pair<ShareNo, double>> adoptedCores_;  // while their records are being written
+  struct Adopted {
+    ShareNo share;
+    double cores = 0;
+    std::string type;
+  };
+  std::map<HostId, Adopted> adoptedCores_;  // while their records are being written
+  std::map<HostId, wire::HostRecord> waitingAdoption_;
+  Time adoptAt_{};
   std::set<HostId> returned_;
   std::map<HostId, Time> asked_;  // machines whose owner was told to give them up
 };
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -11,8 +11,9 @@
 
 constexpr unsigned kTurn = 8;                 // tasks a job is given before the next in line has its turn
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
-constexpr double kSlowStart = 100;  // core seconds of work that a start in time for its aim is worth
-constexpr double kServiceLoss = 600;          // seconds of work that moving a replica counts as
+constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
+constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
+constexpr double kServiceLoss = 600;  // seconds of work that moving a replica counts as
 
 double fetchS(const Host& h, const JobSpec& job) {
   return h.fetchGbPerS > 0 ? job.imageGb / h.fetchGbPerS : 0;
@@ -191,7 +192,10 @@
     const Team* t = settings_.team(other.team);
     bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - 1e-6;
     bool sameTeam = other.team == job.spec->team;
-    if (!p.wanted || !policy::mayStop(job.spec->rank, guaranteed, sameTeam, other.rank, above)) continue;
+    // What this very round placed is not stopped by it: the two would take turns for ever.
+    if (!p.committed || !p.wanted ||
+        !policy::mayStop(job.spec->rank, guaranteed, sameTeam, other.rank, above))
+      continue;
     double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
     if (other.snapshotEveryS > 0) ran = std::min(ran, other.snapshotEveryS);
     if (other.shape == Shape::Service) ran += kServiceLoss;
@@ -259,7 +263,8 @@
       auto fa = fetchS(*a, spec), fb = fetchS(*b, spec);
       return fa != fb ? fa < fb : better(a, b);
     });
-    if (tooSlow(job, *others.front()) && holderCouldMakeRoom(job, zones)) return nullptr;
+    bool waits = io_.now() >= job.anyStartUntil;
+    if (waits && tooSlow(job, *others.front()) && holderCouldMakeRoom(job, zones)) return nullptr;
   } else {
     std::sort(others.begin(), others.end(), better);
   }
@@ -323,6 +328,8 @@
         }
       }
       if (!best) break;
+      // The holders are spoken for: the rest need not wait for them.
+      if (tooSlow(job, *best)) job.anyStartUntil = io_.now() + kAnyStart;
       for (auto i : cheapest->victims) {
         auto& p = best->placements.at(bestTasks[i]);
         log_->debug("{} gives way on {} to {}", wire::encodeTask(bestTasks[i]), best->id.value, job.id.value);
--- a/src/policy/preempt.cpp
+++ b/src/policy/preempt.cpp
@@ -6,7 +6,7 @@
 namespace cherryloft::policy {
 
 bool mayStop(Rank claimant, bool claimantGuaranteed, bool sameTeam, Rank victim, bool victimAboveGuarantee) {
-  return claimant > victim || (claimantGuaranteed && !sameTeam && victimAboveGuarantee);
+  return claimant > victim || (claimant == victim && claimantGuaranteed && !sameTeam && victimAboveGuarantee);
 }
 
 std::optional<Eviction> evict(const Resources& free, const Resources& need,
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -15,6 +15,7 @@
 Json body() {
   world::TaskNature n;
   n.spec.id = JobId{"wk-000412"};
+  n.spec.jobClass = "train";
   n.spec.team = TeamId{"t"};
   n.spec.tasks = 16;
   n.spec.each = {8, 1, 64};
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -47,6 +47,7 @@
   auto& s = n.spec;
   s.id = cherryloft::JobId{jobId(w.at(at))};
   s.team = cherryloft::TeamId{"team-" + get("team", "0")};
+  s.jobClass = get("class", "plain");
   auto shape = get("shape", "array"), rank = get("rank", "normal");
   s.shape = shape == "service" ? cherryloft::Shape::Service
             : shape == "gang"  ? cherryloft::Shape::Gang
