--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -16,8 +16,8 @@
 constexpr Duration kStopAgain{1'500};
 constexpr std::size_t kMostOrders = 300;  // keeps an answer's line under 64 KiB
 constexpr double kFreshReports = 2.6;     // report intervals after which a machine gets no new work
-constexpr double kProbeReports = 2.0;   // and after which it is asked for one
-constexpr double kSilentReports = 3.4;  // and after which a lone silent machine is returned
+constexpr double kProbeReports = 2.0;     // and after which it is asked for one
+constexpr double kSilentReports = 3.4;    // and after which a lone silent machine is returned
 constexpr double kSilentShare = 0.26;     // more silent machines than this: the fault is not theirs
 constexpr unsigned kFailuresToBackOff = 3;
 constexpr std::size_t kFailedJobsToDrain = 2;
