--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -55,7 +55,7 @@
     h.fetchGbPerS = type->fetchGbPerS;
     h.images = ImageCache(type->cacheGb);
   }
-  h.idleSince = h.addedAt = h.lastHeard = now;
+  h.idleSince = h.lastHeard = now;
   return h;
 }
 
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -103,7 +103,6 @@
   std::optional<std::int32_t> giveTo;  // share, or -1 for the cloud
   std::set<JobId> failedJobs;
   Time idleSince{};
-  Time addedAt{};
 
   Token token() const { return Token{base.value + raises}; }
   bool settled() const { return !unsettled || seen > *unsettled; }
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -296,6 +296,7 @@
       h.usedCores = h.cores - it->second->freeCores;
       h.idleS = it->second->idleS > 0 ? it->second->idleS : -1;
     }
+    h.id = id;
     f.hosts.push_back(h);
   }
   for (const auto& r : rentals_)
@@ -369,8 +370,17 @@
       auto wish = policy::rent(f, targets.at(k), prices_, offers);
       if (!wish) continue;
       startRental(k, *wish);
-      f.hosts.push_back(
-          {wish->offer.type, wish->offer.zone, wish->offer.spot, wish->cores, true, -1, 0, 0, false, false});
+      f.hosts.push_back({wish->offer.type,
+                         wish->offer.zone,
+                         wish->offer.spot,
+                         wish->cores,
+                         true,
+                         -1,
+                         0,
+                         0,
+                         false,
+                         false,
+                         {}});
       any = true;
     }
   }
@@ -419,8 +429,7 @@
   if (!go) return emptyOne(k, f, t);
   const auto& want = f.hosts[*go];
   for (const auto& h : loads_[k].load.hosts) {
-    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.idleS != want.idleS)
-      continue;
+    if (h.host != want.id.value) continue;
     auto& asked = asked_[HostId{h.host}];
     if (asked != Time{} && now - asked < kAskAgain) continue;
     asked = now;
@@ -436,8 +445,7 @@
   if (!busy) return;
   const auto& want = f.hosts[*busy];
   for (auto& h : loads_[k].load.hosts) {
-    if (h.type != want.type || h.zone != want.zone.value || h.spot != want.spot || h.ageS != want.ageS)
-      continue;
+    if (h.host != want.id.value) continue;
     h.emptying = true;
     log_->info("share {} empties {}", k.value, h.host);
     return out_.wish({k.value, h.host, mesh::HostWish::Empty, 0});
--- a/src/actors/membership.h
+++ b/src/actors/membership.h
@@ -39,8 +39,6 @@
   // The directory changed under share/ or node/.
   void changed();
   Standing standing() const;
-  bool leads() const { return leads_; }
-  bool joined() const { return joined_; }
   // Gives a share to its home controller; done tells whether it is gone.
   void give(ShareNo k, Stamp stamp, const NodeId& to, std::function<void(bool)> done);
   // The share's actor found that it does not own it any more, or that its books are in doubt.
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -46,7 +46,6 @@
   bool withdraw(const JobId& id, std::function<void(JobStatus)> done);
   bool loaded() const { return loaded_; }
   ShareNo share() const { return taken_.share; }
-  Epoch epoch() const { return taken_.epoch; }
 
  private:
   // Calls f only while this actor lives.
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -27,7 +27,6 @@
       : loop_(loop), maxIdlePerAddress_(maxIdlePerAddress), maxIdle_(maxIdle) {}
   ~HttpClient();
   void call(const Address& to, HttpRequest request, Duration deadline, HttpDone done);
-  std::size_t openSockets() const { return idle_.size() + calls_.size(); }
 
  private:
   struct Kept {
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -31,6 +31,7 @@
   double ageS = 0;
   bool emptying = false;
   bool pinned = false;  // can't be emptied now
+  HostId id{};          // empty: still being rented
 };
 
 struct ShareFleet {
--- a/tests/world/checker.cpp
+++ b/tests/world/checker.cpp
@@ -29,7 +29,6 @@
 }
 
 void Checker::started(const Machine& m, const std::string& job, std::uint32_t index) {
-  ++starts_;
   auto it = jobs_.find(job);
   if (it == jobs_.end() || !it->second.spec) return breaks("invented", job + " runs and was never submitted");
   auto& j = it->second;
--- a/tests/world/checker.h
+++ b/tests/world/checker.h
@@ -40,7 +40,6 @@
   void review();
 
   const std::vector<Broken>& broken() const { return broken_; }
-  unsigned starts() const { return starts_; }
   unsigned startsOf(const std::string& job) const;
   bool allDone(const std::string& job) const;
   std::set<std::string> machinesOf(const std::string& job) const;
@@ -63,7 +62,6 @@
   const cherryloft::Settings& settings_;
   std::map<std::string, Job> jobs_;
   std::vector<Broken> broken_;
-  unsigned starts_ = 0;
 };
 
 }  // namespace world
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -30,8 +30,6 @@
   // Runs a task on nobody's order, to prove that the checker sees it.
   void plant(const std::string& job, std::uint32_t index);
   const Machine& machine() const { return machine_; }
-  bool holdsNothing() const { return tasks_.empty(); }
-  unsigned tenures() const { return static_cast<unsigned>(tenure_); }
 
  private:
   using Json = nlohmann::json;
--- a/tests/world/store.h
+++ b/tests/world/store.h
@@ -13,7 +13,6 @@
   Store(Clock& clock, Net& net, unsigned txnOps, std::size_t valueBytes);
   void outage(Ms until);
   void refuse(const std::string& who, Ms until) { refused_[who] = until; }
-  std::size_t keys() const { return data_.size(); }
   std::uint64_t writes() const { return writes_; }
   std::size_t largestValue() const { return largestValue_; }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -31,7 +31,6 @@
   void start();
   void crash(Ms backAfter);
   void frame(const cherryloft::mesh::Frame& f);
-  bool running() const { return node_ != nullptr; }
 
  private:
   class SimIo;
