--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -62,8 +62,7 @@
 
 void Api::accept(JobSpec spec, Responder done) {
   auto id = spec.id;
-  wire::JobRecord record{JobStatus::Open, settings_.shareOfTeam(spec.team), spec.tasks, 0, io_.wall(), {}};
-  record.chunk = static_cast<std::uint32_t>(std::clamp<std::size_t>(settings_.valueBytes / 64, 8, 1024));
+  wire::JobRecord record{JobStatus::Open, settings_.shareOfTeam(spec.team), spec.tasks, io_.wall(), {}};
   record.spec = std::move(spec);
   auto value = wire::encodeJobRecord(record);
   if (value.size() > settings_.valueBytes)
--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -8,14 +8,21 @@
   return std::any_of(recent_.begin(), recent_.end(), [&](const auto& e) { return e.first == image; });
 }
 
-void ImageCache::touch(const ImageId& image, double gb) {
+std::vector<ImageId> ImageCache::touch(const ImageId& image, double gb) {
   recent_.remove_if([&](const auto& e) { return e.first == image; });
   recent_.emplace_front(image, gb);
+  std::vector<ImageId> gone;
   double sum = 0;
   for (auto it = recent_.begin(); it != recent_.end();) {
     sum += it->second;
-    it = sum > capacity_ && it != recent_.begin() ? recent_.erase(it) : std::next(it);
+    if (sum <= capacity_ || it == recent_.begin()) {
+      ++it;
+      continue;
+    }
+    gone.push_back(it->first);
+    it = recent_.erase(it);
   }
+  return gone;
 }
 
 Resources Host::leavingRoom() const {
@@ -25,70 +32,141 @@
   return r;
 }
 
+// --- jobs ---
+
 Job& Books::addJob(const JobId& id, const KnownJob& known) {
   auto& j = jobs_[id];
   j.id = id;
   j.spec = known.spec;
+  j.team = settings_.team(j.spec->team);
+  j.holders = &holders_[j.spec->image];
   j.stamp = known.stamp;
   j.submitted = known.submitted;
-  j.chunk = known.chunk;
   j.status = known.status;
   j.tasks.assign(known.tasks, Task{});
+  byTeam_[j.spec->team][{j.submitted, id}] = &j;
   if (j.status == JobStatus::Open)
     for (std::uint32_t i = 0; i < known.tasks; ++i) j.waiting.push_back(i);
   return j;
 }
 
-void Books::removeJob(const JobId& id) { jobs_.erase(id); }
+void Books::removeJob(const JobId& id) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  for (auto& t : it->second.tasks) forgetFact(t);
+  byTeam_[it->second.spec->team].erase({it->second.submitted, id});
+  jobs_.erase(it);
+}
 
 Job* Books::job(const JobId& id) {
   auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
+// --- machines ---
+
 Host& Books::addHost(const HostId& id, const KnownHost& known, const MachineType* type, Time now) {
   auto& h = hosts_[id];
   h.id = id;
+  h.no = ++hostCount_;
   h.known = known;
+  h.address = known.record.address;
   if (type) {
     h.size = type->size;
     h.fetchGbPerS = type->fetchGbPerS;
     h.images = ImageCache(type->cacheGb);
   }
+  const auto& r = known.record;
+  auto pool = std::find_if(pools_.begin(), pools_.end(), [&](const Pool& p) {
+    return p.type == r.type && p.zone == r.zone && p.spot == r.spot;
+  });
+  if (pool == pools_.end())
+    pool = pools_.insert(pools_.end(), {r.type, r.zone, r.spot, h.size, h.fetchGbPerS, 0, {}});
+  ++pool->machines;
+  h.pool = &*pool;
   h.idleSince = h.lastHeard = now;
   return h;
 }
 
-void Books::removeHost(const HostId& id) { hosts_.erase(id); }
+void Books::removeHost(const HostId& id) {
+  auto it = hosts_.find(id);
+  if (it == hosts_.end()) return;
+  auto& h = it->second;
+  h.leaving = true;
+  reindex(h);
+  --h.pool->machines;
+  for (auto& [_, set] : holders_) set.erase(h.no);
+  hosts_.erase(it);
+}
 
 Host* Books::host(const HostId& id) {
   auto it = hosts_.find(id);
   return it == hosts_.end() ? nullptr : &it->second;
 }
 
+void Books::reindex(Host& h) {
+  std::optional<double> should;
+  if (h.open()) should = h.free().cores;
+  if (h.indexedFree == should) return;
+  if (h.indexedFree) h.pool->byRoom.erase({*h.indexedFree, h.no});
+  if (should) h.pool->byRoom[{*should, h.no}] = &h;
+  if (!h.indexedFree) {
+    h.openAt = open_.size();
+    open_.push_back(&h);
+  } else if (!should) {
+    open_[h.openAt] = open_.back();
+    open_[h.openAt]->openAt = h.openAt;
+    open_.pop_back();
+  }
+  h.indexedFree = should;
+}
+
+void Books::cached(Host& h, const ImageId& image, double gb) {
+  for (const auto& gone : h.images.touch(image, gb)) holders_[gone].erase(h.no);
+  holders_[image][h.no] = &h;
+}
+
+// --- placements ---
+
 Placement& Books::place(Job& job, std::uint32_t index, Host& host, Attempt attempt, Time now) {
   auto& p = host.placements[TaskId{job.id, index}];
   p.job = &job;
   p.attempt = attempt;
   p.placedAt = now;
-  host.used += job.spec->each;
-  use_[job.spec->team] += job.spec->each;
-  job.tasks[index] = {TaskState::Placed, false, &host};
+  const auto& s = *job.spec;
+  host.used += s.each;
+  if (s.shape == Shape::Service) host.replicaCores += s.each.cores;
+  use_[s.team] += s.each;
+  usedByRank_[static_cast<std::size_t>(s.rank)] += s.each.cores;
+  ++job.zones[host.zone()];
+  auto& t = job.tasks[index];
+  t.state = TaskState::Placed;
+  t.host = &host;
   ++job.placed;
+  job.begun = true;
+  reindex(host);
   return p;
 }
 
 void Books::release(Host& host, std::map<TaskId, Placement>::iterator it, Time now) {
   Job& job = *it->second.job;
-  host.used -= job.spec->each;
-  use_[job.spec->team] -= job.spec->each;
+  const auto& s = *job.spec;
+  host.used -= s.each;
+  if (s.shape == Shape::Service) host.replicaCores -= s.each.cores;
+  use_[s.team] -= s.each;
+  usedByRank_[static_cast<std::size_t>(s.rank)] -= s.each.cores;
+  auto zone = job.zones.find(host.zone());
+  if (--zone->second == 0) job.zones.erase(zone);
   --job.placed;
   if (it->second.phase == wire::TaskPhase::Running && it->second.shown) --job.running;
+  job.tasks[it->first.index].host = nullptr;
   host.placements.erase(it);
   if (host.placements.empty()) {
     host.used = {};
+    host.replicaCores = 0;
     host.idleSince = now;
   }
+  reindex(host);
 }
 
 void Books::gone(Host& host, const TaskId& task, Time now) {
@@ -96,7 +174,9 @@
   if (it == host.placements.end()) return;
   Job& job = *it->second.job;
   release(host, it, now);
-  job.tasks[task.index] = {TaskState::Waiting, false, nullptr};
+  auto& t = job.tasks[task.index];
+  t.state = TaskState::Waiting;
+  forgetFact(t);
   // What was running before comes before what never ran.
   job.waiting.push_front(task.index);
 }
@@ -106,7 +186,7 @@
   if (it == host.placements.end()) return;
   Job& job = *it->second.job;
   release(host, it, now);
-  job.tasks[task.index] = {TaskState::Done, false, nullptr};
+  job.tasks[task.index].state = TaskState::Done;
   ++job.done;
 }
 
@@ -122,36 +202,113 @@
   p.phase = phase;
 }
 
+// --- limits ---
+
 Resources Books::teamUse(const TeamId& team) const {
   auto it = use_.find(team);
   return it == use_.end() ? Resources{} : it->second;
 }
 
 bool Books::withinLimit(const Job& job) const {
-  const Team* t = settings_.team(job.spec->team);
-  if (!t) return false;
+  if (!job.team) return false;
   auto sum = teamUse(job.spec->team) + job.spec->each;
   sum.ram = 0;
-  return sum.fitsIn({t->coresMax, t->gpusMax, 0});
+  return sum.fitsIn({job.team->coresMax, job.team->gpusMax, 0});
+}
+
+bool Books::aboveGuarantee(const Team& team) const { return teamUse(team.name).cores > team.cores + 1e-6; }
+
+bool Books::mayPreempt(Rank claimant, bool guaranteed) const {
+  for (std::size_t r = 0; r < static_cast<std::size_t>(claimant); ++r)
+    if (usedByRank_[r] > 1e-6) return true;
+  return guaranteed && usedByRank_[static_cast<std::size_t>(claimant)] > 1e-6 &&
+         std::any_of(byTeam_.begin(), byTeam_.end(), [&](const auto& t) {
+           const Team* team = settings_.team(t.first);
+           return team && aboveGuarantee(*team);
+         });
 }
 
-std::map<Zone, unsigned> Books::zonesOf(const Job& job) const {
-  std::map<Zone, unsigned> zones;
-  for (const auto& t : job.tasks)
-    if (t.host) ++zones[t.host->zone()];
-  return zones;
+// --- pages ---
+
+void Books::forgetFact(Task& t) {
+  if (t.page == kNoPage) return;
+  auto& live = pages_.at(t.page).live;
+  live -= std::min<std::size_t>(live, 1);
+  t.page = kNoPage;
 }
 
-wire::RunRecord Books::runRecord(const Job& job, std::uint32_t chunk) const {
-  wire::RunRecord r;
-  auto first = chunk * job.chunk;
-  auto last = std::min<std::uint32_t>(first + job.chunk, static_cast<std::uint32_t>(job.tasks.size()));
-  for (auto i = first; i < last; ++i) {
-    const auto& t = job.tasks[i];
-    if (t.state == TaskState::Done) r.done.push_back(i);
-    if (t.host) r.placed.push_back({i, t.host->placements.at(TaskId{job.id, i}).attempt, t.host->id});
+void Books::restored(const TaskId& task, PageNo page) {
+  auto& t = jobs_.at(task.job).tasks[task.index];
+  forgetFact(t);
+  t.page = page;
+  pages_.at(page).members.push_back(task);
+  ++pages_.at(page).live;
+}
+
+// The task's latest state is on that page and still worth keeping: what is placed counts until it is known
+// gone (invariant 1), what is done until its job is over.
+bool Books::stands(const TaskId& id, PageNo page) {
+  Job* j = job(id.job);
+  if (!j || j->tasks[id.index].page != page) return false;
+  const auto& t = j->tasks[id.index];
+  return t.state == TaskState::Placed || (t.state == TaskState::Done && j->status == JobStatus::Open);
+}
+
+std::optional<PageDraft> Books::draft(std::deque<TaskId>& fresh, std::set<PageNo>& taken) {
+  // What was done, lost or written meanwhile needs no writing.
+  auto needed = [&](const TaskId& id) {
+    Job* j = job(id.job);
+    if (!j || j->tasks[id.index].flying) return false;
+    const auto& t = j->tasks[id.index];
+    // When the whole job is done, its own record says so.
+    if (t.state == TaskState::Done)
+      return j->status == JobStatus::Open && !t.doneCommitted && j->done < j->tasks.size();
+    return t.state == TaskState::Placed && !t.host->placements.at(id).committed;
+  };
+  while (!fresh.empty() && !needed(fresh.front())) fresh.pop_front();
+  if (fresh.empty()) return std::nullopt;
+
+  PageDraft d;
+  d.number = pages_.next(taken);
+  taken.insert(d.number);
+  std::size_t weight = wire::kPageFrame;
+  auto add = [&](const TaskId& id) {
+    const auto& t = job(id.job)->tasks[id.index];
+    auto known = d.record.jobs.find(id.job);
+    std::size_t more = known == d.record.jobs.end() ? wire::weightOfJob(id.job) : 0;
+    std::optional<wire::RunEntry> entry;
+    if (t.state == TaskState::Placed) entry = {id.index, t.host->placements.at(id).attempt, t.host->id};
+    more += entry ? wire::weightOf(*entry) : wire::weightOfDone(id.index);
+    if (weight + more > settings_.valueBytes) return false;
+    weight += more;
+    auto& facts = d.record.jobs[id.job];
+    if (entry)
+      facts.placed.push_back(std::move(*entry));
+    else
+      facts.done.push_back(id.index);
+    d.members.push_back(id);
+    return true;
+  };
+  auto& page = pages_.at(d.number);
+  for (const auto& id : page.members)
+    if (stands(id, d.number)) add(id);
+  auto old = d.members.size();
+  while (!fresh.empty()) {
+    auto id = fresh.front();
+    if (needed(id)) {
+      if (!add(id)) break;
+      auto& t = job(id.job)->tasks[id.index];
+      forgetFact(t);
+      t.page = d.number;
+      t.flying = true;
+    }
+    fresh.pop_front();
   }
-  return r;
+  page.members = d.members;
+  page.live = d.members.size();
+  for (auto& [_, facts] : d.record.jobs) std::sort(facts.done.begin(), facts.done.end());
+  if (d.members.size() == old) return std::nullopt;  // it is full after all
+  return d;
 }
 
 }  // namespace cherryloft
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -1,6 +1,8 @@
-// A share's picture: its jobs, its machines and what may be where. No I/O and no clock of its own.
+// A share's picture: its jobs, its machines and what may be where, with the indices that decisions look
+// things up in. No I/O and no clock of its own.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <list>
 #include <map>
@@ -9,34 +11,41 @@
 #include <unordered_map>
 
 #include "actors/directory.h"
+#include "actors/pages.h"
 #include "net/server.h"
 #include "wire/workers.h"
 
 namespace cherryloft {
 
 struct Host;
+// Machines by their number in the books, so that walks come in the same order every time.
+using HostSet = std::map<std::uint32_t, Host*>;
 
 enum class TaskState : std::uint8_t { Waiting, Placed, Done };
 
 struct Task {
   TaskState state = TaskState::Waiting;
   bool doneCommitted = false;
-  Host* host = nullptr;  // while placed
+  bool flying = false;    // a write of its state is on its way
+  PageNo page = kNoPage;  // where the latest write of its state is
+  Host* host = nullptr;   // while placed
 };
 
 struct Job {
   JobId id;
   std::shared_ptr<const JobSpec> spec;
+  const Team* team = nullptr;
+  HostSet* holders = nullptr;  // machines that are taken to cache its image
   Stamp stamp;
   WallTime submitted;
-  std::uint32_t chunk = 1;
   JobStatus status = JobStatus::Open;  // as committed
   bool abortAsked = false;
   std::vector<std::function<void(JobStatus)>> withdrawers;
   std::vector<Task> tasks;
   std::deque<std::uint32_t> waiting;
+  std::map<Zone, unsigned> zones;  // its tasks by zone, as the placement rules count them
   std::uint32_t done = 0, placed = 0, running = 0;
-  std::map<std::uint32_t, Stamp> chunks;  // run/ keys that exist
+  bool begun = false;  // a task of it was placed once
   std::set<HostId> failedOn;
   unsigned failures = 0;  // in a row
   Time notBefore{};
@@ -60,6 +69,8 @@
   Time placedAt{};
   Time runningSince{};
   Time stopSent{};
+
+  bool pending() const { return !wanted || !shown; }
 };
 
 // The images a machine is taken to cache: the most recently used ones.
@@ -67,23 +78,38 @@
  public:
   explicit ImageCache(double capacityGb = 0) : capacity_(capacityGb) {}
   bool has(const ImageId& image) const;
-  void touch(const ImageId& image, double gb);
-  void clear() { recent_.clear(); }
+  // Returns what had to go for it.
+  std::vector<ImageId> touch(const ImageId& image, double gb);
 
  private:
   double capacity_;
   std::list<std::pair<ImageId, double>> recent_;  // latest first
 };
 
+// Machines of one kind in one zone, by the cores that are free on them. Only open ones are in it.
+struct Pool {
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  Resources size;
+  double fetchGbPerS = 0;
+  std::size_t machines = 0;  // open or not
+  std::map<std::pair<double, std::uint32_t>, Host*> byRoom;
+};
+
 struct Host {
   HostId id;
+  std::uint32_t no = 0;
   KnownHost known;
+  Pool* pool = nullptr;
   Resources size, used;
   double fetchGbPerS = 0;
+  double replicaCores = 0;  // of services
   std::map<TaskId, Placement> placements;
   ImageCache images;
 
   bool heard = false;  // a report with our token came (invariant 7)
+  bool stale = false;  // not heard of late: it gets no new work
   Tenure tenure, expiredTenure;
   Serial serial;
   Time lastHeard{};
@@ -92,36 +118,60 @@
   std::uint64_t raises = 0;
   Token seen;                      // highest token the worker reported
   std::optional<Token> unsettled;  // direct commands up to this token may still arrive (invariant 3)
+  Tenure hint;                     // the tenure that commands name while no report is trusted
   bool directBusy = false, directAgain = false;
+  unsigned askedInVain = 0;  // direct commands in a row without an answer
   Time directNotBefore{};
+  std::optional<Time> unprovenSince;  // reports come, but none that shows our token (invariant 11)
   std::vector<wire::ReportedTask> reported;
   std::optional<Time> reclaimAt;
 
-  bool emptying = false;  // takes no more work, and goes when it is empty unless room gets short
-  bool leaving = false;   // takes no more work: to be given up
-  bool recordBusy = false;
+  bool emptying = false;               // takes no more work, and goes when it is empty unless room gets short
+  bool leaving = false;                // takes no more work: to be given up
   std::optional<std::int32_t> giveTo;  // share, or -1 for the cloud
+  bool returnNow = false;              // to the cloud whatever is on it
+  std::string address;                 // as it says itself
   std::set<JobId> failedJobs;
   Time idleSince{};
+  bool attention = true;  // has orders to be sent, or is to be asked
+
+  // Where the index has it.
+  std::optional<double> indexedFree;
+  std::size_t openAt = 0;
 
   Token token() const { return Token{base.value + raises}; }
   bool settled() const { return !unsettled || seen > *unsettled; }
   bool spot() const { return known.record.spot; }
   const Zone& zone() const { return known.record.zone; }
   Resources free() const { return size - used; }
+  // It takes new work.
+  bool open() const {
+    return heard && !stale && !leaving && !emptying && !reclaimAt &&
+           known.record.phase == wire::HostPhase::InUse && settled() && size.cores > 0;
+  }
   // Room that stopping tasks will leave.
   Resources leavingRoom() const;
 };
 
+// A page as it is to be written: what is still true of it, and as many new facts as it has room for.
+struct PageDraft {
+  PageNo number = 0;
+  wire::PageRecord record;
+  std::vector<TaskId> members;
+};
+
 class Books {
  public:
-  explicit Books(const Settings& settings) : settings_(settings) {}
+  explicit Books(const Settings& settings) : settings_(settings), pages_(settings.valueBytes) {}
 
   Job& addJob(const JobId& id, const KnownJob& known);
   void removeJob(const JobId& id);
   Job* job(const JobId& id);
   std::map<JobId, Job>& jobs() { return jobs_; }
   const std::map<JobId, Job>& jobs() const { return jobs_; }
+  // A team's jobs that are not over, in order of submission.
+  using TeamJobs = std::map<std::pair<WallTime, JobId>, Job*>;
+  const std::map<TeamId, TeamJobs>& teams() const { return byTeam_; }
 
   Host& addHost(const HostId& id, const KnownHost& known, const MachineType* type, Time now);
   void removeHost(const HostId& id);
@@ -134,21 +184,41 @@
   void gone(Host& host, const TaskId& task, Time now);
   void taskDone(Host& host, const TaskId& task, Time now);
   void setPhase(Placement& p, wire::TaskPhase phase, Time now);
+  void cached(Host& host, const ImageId& image, double gb);
+  // To be told after anything that Host::open() depends on has changed.
+  void reindex(Host& host);
+  const std::list<Pool>& pools() const { return pools_; }
+  const std::vector<Host*>& openHosts() const { return open_; }
 
   Resources teamUse(const TeamId& team) const;
   // Whether one more task keeps its team within the limit.
   bool withinLimit(const Job& job) const;
-  // Tasks of the job by zone, as the placement rules count them.
-  std::map<Zone, unsigned> zonesOf(const Job& job) const;
-  wire::RunRecord runRecord(const Job& job, std::uint32_t chunk) const;
+  bool aboveGuarantee(const Team& team) const;
+  // Some work is there that such a claimant may stop.
+  bool mayPreempt(Rank claimant, bool guaranteed) const;
+
+  // A page that is not taken yet, and is from then on. It takes from fresh the tasks whose state it will
+  // hold; nothing if there are none.
+  std::optional<PageDraft> draft(std::deque<TaskId>& fresh, std::set<PageNo>& taken);
+  void restored(const TaskId& task, PageNo page);
+  Pages& pages() { return pages_; }
 
  private:
   void release(Host& host, std::map<TaskId, Placement>::iterator it, Time now);
+  void forgetFact(Task& t);
+  bool stands(const TaskId& id, PageNo page);
 
   const Settings& settings_;
+  Pages pages_;
   std::map<JobId, Job> jobs_;
+  std::map<TeamId, TeamJobs> byTeam_;
   std::map<HostId, Host> hosts_;
+  std::list<Pool> pools_;
+  std::vector<Host*> open_;
+  std::unordered_map<ImageId, HostSet> holders_;
   std::unordered_map<TeamId, Resources> use_;
+  std::array<double, 4> usedByRank_{};
+  std::uint32_t hostCount_ = 0;
 };
 
 }  // namespace cherryloft
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -1,6 +1,7 @@
 #include "actors/directory.h"
 
 #include <charconv>
+#include <set>
 
 #include "wire/cloud.h"
 
@@ -36,30 +37,67 @@
 
 }  // namespace
 
-void Directory::apply(const wire::KeyChange& c, const Log& log) {
+// Machines come, change and go with their group; one that moved shows in its new group from the same
+// revision on, whichever of the two is seen first.
+std::vector<HostId> Directory::applyGroup(const wire::KeyChange& c, const Log& log) {
+  auto r = c.value ? wire::parseGroup(*c.value) : wire::GroupRecord{};
+  if (!r) {
+    // Its machines may hold tasks: what was known of them stands.
+    log->error("unreadable machine group {}, perhaps of another layout", c.key);
+    return {};
+  }
+  std::vector<HostId> touched;
+  std::set<HostId> present;
+  for (const auto& m : r->members) {
+    auto it = hosts.find(m.id);
+    if (it != hosts.end() && it->second.stamp > c.stamp) continue;
+    present.insert(m.id);
+    hosts[m.id] = {
+        {r->share, r->token, m.phase, r->type, r->zone, r->spot, m.address, r->since}, c.stamp, c.key};
+    touched.push_back(m.id);
+  }
+  for (const auto& id : groups[c.key]) {
+    auto it = hosts.find(id);
+    if (present.count(id) > 0 || it == hosts.end() || it->second.group != c.key) continue;
+    hosts.erase(it);
+    touched.push_back(id);
+  }
+  if (present.empty())
+    groups.erase(c.key);
+  else
+    groups[c.key].assign(present.begin(), present.end());
+  return touched;
+}
+
+wire::GroupRecord Directory::group(const std::string& key) const {
+  wire::GroupRecord r;
+  auto it = groups.find(key);
+  if (it == groups.end()) return r;
+  for (const auto& id : it->second) {
+    auto h = hosts.find(id);
+    if (h == hosts.end() || h->second.group != key) continue;
+    const auto& x = h->second.record;
+    r.share = x.share, r.token = x.token, r.type = x.type, r.zone = x.zone, r.spot = x.spot,
+    r.since = x.since;
+    r.members.push_back({id, x.phase, x.address});
+  }
+  return r;
+}
+
+std::vector<HostId> Directory::apply(const wire::KeyChange& c, const Log& log) {
   if (under(c.key, keys::kJobs)) {
     JobId id{c.key.substr(keys::kJobs.size())};
     auto r = c.value ? wire::parseJobRecord(id, *c.value) : std::nullopt;
     if (!r) {
       log->error("unreadable job record {}", id.value);
-      return;
+      return {};
     }
     auto& j = jobs[id];
-    if (j.stamp > c.stamp || j.status != JobStatus::Open) return;  // terminal is final
-    j = {r->status,
-         r->share,
-         r->tasks,
-         r->chunk,
-         r->submitted,
-         c.stamp,
-         r->spec ? std::make_shared<const JobSpec>(std::move(*r->spec)) : nullptr};
+    if (j.stamp > c.stamp || j.status != JobStatus::Open) return {};  // terminal is final
+    j = {r->status,    r->share, r->tasks,
+         r->submitted, c.stamp,  r->spec ? std::make_shared<const JobSpec>(std::move(*r->spec)) : nullptr};
   } else if (under(c.key, keys::kHosts)) {
-    HostId id{c.key.substr(keys::kHosts.size())};
-    auto r = c.value ? wire::parseHost(*c.value) : std::nullopt;
-    if (r)
-      hosts[id] = {*r, c.stamp};
-    else
-      hosts.erase(id);
+    return applyGroup(c, log);
   } else if (under(c.key, keys::kNodes)) {
     NodeId n{c.key.substr(keys::kNodes.size())};
     if (c.value)
@@ -69,6 +107,7 @@
   } else if (under(c.key, keys::kShares)) {
     applyShare(*this, c, c.key.substr(keys::kShares.size()));
   }
+  return {};
 }
 
 }  // namespace cherryloft
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -2,6 +2,7 @@
 // Terminal states in it are final; all else may lag.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -16,7 +17,6 @@
   JobStatus status = JobStatus::Open;
   ShareNo share;
   std::uint32_t tasks = 0;
-  std::uint32_t chunk = 0;
   WallTime submitted;
   Stamp stamp;
   std::shared_ptr<const JobSpec> spec;  // while open
@@ -24,7 +24,8 @@
 
 struct KnownHost {
   wire::HostRecord record;
-  Stamp stamp;
+  Stamp stamp;        // of its group's key
+  std::string group;  // that key
 };
 
 struct KnownOwner {
@@ -35,6 +36,7 @@
 struct Directory {
   std::unordered_map<JobId, KnownJob> jobs;
   std::unordered_map<HostId, KnownHost> hosts;
+  std::map<std::string, std::vector<HostId>> groups;  // host/ keys and the machines in each
   std::unordered_map<ShareNo, KnownOwner> shares;
   std::unordered_map<NodeId, Stamp> nodes;  // controllers whose hold lives
   std::optional<KnownOwner> leader;
@@ -49,21 +51,27 @@
     return it == shares.end() ? nullptr : &it->second.record.owner;
   }
 
-  // Takes in one change; unreadable records are logged and left out.
-  void apply(const wire::KeyChange& c, const Log& log);
+  // Takes in one change; unreadable records are logged and left out. Names the machines it touched.
+  std::vector<HostId> apply(const wire::KeyChange& c, const Log& log);
+  // A machine group as it is known, to be written anew with a change.
+  wire::GroupRecord group(const std::string& key) const;
+
+ private:
+  std::vector<HostId> applyGroup(const wire::KeyChange& c, const Log& log);
 };
 
 namespace keys {
 inline const std::string kJobs = "job/", kHosts = "host/", kShares = "share/", kNodes = "node/";
 inline const std::string kLeader = "share/leader", kEpoch = "share/epoch", kCatalog = "share/catalog";
 inline std::string job(const JobId& id) { return kJobs + id.value; }
-inline std::string host(const HostId& id) { return kHosts + id.value; }
+// A group is named after its first machine and the epoch under which it was formed, and so once for ever.
+inline std::string group(const HostId& first, Epoch e) {
+  return kHosts + first.value + "." + std::to_string(e.value);
+}
 inline std::string share(ShareNo k) { return kShares + std::to_string(k.value); }
 inline std::string node(const NodeId& n) { return kNodes + n.value; }
 inline std::string runs(ShareNo k) { return "run/" + std::to_string(k.value) + "/"; }
-inline std::string run(ShareNo k, const JobId& id, std::uint32_t chunk) {
-  return runs(k) + id.value + "/" + std::to_string(chunk);
-}
+inline std::string page(ShareNo k, std::uint32_t n) { return runs(k) + std::to_string(n); }
 }  // namespace keys
 
 }  // namespace cherryloft
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -20,6 +20,8 @@
 constexpr double kMinAgeS = 60;  // what the cloud charges at least
 constexpr double kSettleS = 5;   // a new leader looks before it acts
 constexpr std::size_t kMostReturns = 100;
+constexpr std::size_t kMostAsking = 16;  // machines that turned up, asked at a time
+constexpr unsigned kMostLetGo = 20;      // idle machines of a share in a turn
 }  // namespace
 
 Fleet::Fleet(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir,
@@ -41,13 +43,26 @@
   if (!yes) return;
   ledSince_ = moveAt_ = io_.now();
   claims_ = 0;
-  lastListed_.clear();
-  listing_.clear();
+  listed_.clear();
+  toMark_.clear();
+  asking_.clear();
+  current_ = false;
+  catchUp();
   loads_.clear();
   rentals_.clear();
   waitingAdoption_.clear();
 }
 
+// What former leaders recorded must be in view before anything is recorded anew: their writes fail from our
+// epoch on, so a look after it sees all of them.
+void Fleet::catchUp() {
+  store_.catchUp(keys::kHosts, [this, since = ledSince_](bool ok) {
+    if (!leads_ || since != ledSince_) return;
+    current_ = ok;
+    if (!ok) io_.after(Duration{300}, [this] { catchUp(); });
+  });
+}
+
 void Fleet::load(const mesh::ShareLoad& l) {
   auto& s = loads_[ShareNo{l.share}];
   if (s.load.epoch > l.epoch) return;
@@ -77,7 +92,8 @@
     listHosts("", std::make_shared<std::vector<wire::ListedHost>>());
   if (!returnBusy_ && afford()) returnMarked();
   reviewRecords();
-  adoptWaiting();
+  markAll();
+  if (current_) adoptWaiting();
   if (!prices_.empty() && now - ledSince_ >= seconds(kSettleS)) plan();
 }
 
@@ -135,10 +151,9 @@
 
 void Fleet::listed(const std::vector<wire::ListedHost>& hosts) {
   auto now = io_.now();
-  listing_.clear();
+  listedAt_ = listAt_;
   for (const auto& h : hosts) {
-    lastListed_[h.id] = now;
-    listing_.emplace(h.id, h);
+    listed_.try_emplace(h.id, Listed{listAt_, listAt_}).first->second.last = listAt_;
     auto known = dir_.hosts.find(h.id);
     if (known == dir_.hosts.end()) {
       // Rented by a leader that did not live to note it, or there from the start.
@@ -157,18 +172,21 @@
   }
 }
 
-// Records of machines that the list once named and now lacks for more than twice its lag.
+// Records of machines that the list once named and now lacks. A list is at most twice the lag old, and a
+// machine once listed stays listed until it is gone: one that was listed for longer than that is gone for
+// sure, and of the others one waits until no list can be older than the first that named it.
 void Fleet::reviewRecords() {
   auto now = io_.now();
-  for (auto it = lastListed_.begin(); it != lastListed_.end();) {
-    auto known = dir_.hosts.find(it->first);
-    bool gone = listAt_ - it->second > seconds(2 * settings_.listLagS + 2);
-    if (known == dir_.hosts.end() && now - it->second > seconds(4 * settings_.listLagS)) {
-      it = lastListed_.erase(it);
+  for (auto it = listed_.begin(); it != listed_.end();) {
+    const auto& [id, seen] = *it;
+    auto known = dir_.hosts.find(id);
+    if (known == dir_.hosts.end() && now - seen.last > seconds(4 * settings_.listLagS)) {
+      it = listed_.erase(it);
       continue;
     }
+    bool gone = seen.last < listedAt_ && listedAt_ - seen.first > seconds(2 * settings_.listLagS + 2);
     if (known != dir_.hosts.end() && gone && known->second.record.phase != wire::HostPhase::Returning)
-      markReturning(it->first, "not listed any more");
+      markReturning(id, "not listed any more");
     ++it;
   }
 }
@@ -190,70 +208,121 @@
   }
   std::sort(order.begin(), order.end());
   auto waiting = std::exchange(waitingAdoption_, {});
+  auto lacks = shareGaps();
+  std::map<std::tuple<ShareNo, std::string, Zone, bool>, std::vector<HostId>> together;
   for (const auto& [cores, id] : order) {
-    auto record = waiting.at(id);
-    record.share = neediest(record.type);
+    auto& record = waiting.at(id);
+    record.share = neediest(lacks, record.type);
+    auto& lack = lacks[record.share];
+    lack.gap -= cores;
+    ++lack.ofType[record.type];
     adopting_.insert(id);
-    adoptedCores_[id] = {record.share, cores, record.type};
-    log_->info("adopting {} for share {}", id.value, record.share.value);
-    store_.create({keys::host(id), wire::encodeHost(record), {}}, Duration{3'000},
-                  [this, id = id](TxnResult) {
-                    adopting_.erase(id);
-                    adoptedCores_.erase(id);
-                  });
+    together[{record.share, record.type, record.zone, record.spot}].push_back(id);
+  }
+  for (const auto& [kind, ids] : together) {
+    const auto& [share, type, zone, spot] = kind;
+    log_->info("adopting {} {} in {} for share {}", ids.size(), type, zone.value, share.value);
+    record(ids, share, type, zone, spot, &waiting);
   }
 }
 
+// A machine without a record has reported. Its report may be a late copy, and the machine gone: it is asked.
 void Fleet::hostSeen(const wire::Report& r) {
-  if (!leads_ || dir_.hosts.count(r.host) > 0 || returned_.count(r.host) > 0) return;
-  adopt(r.host, {ShareNo{}, Epoch{}, wire::HostPhase::InUse, r.type, r.zone, r.spot, r.address, io_.wall()});
+  if (!leads_ || dir_.hosts.count(r.host) > 0 || returned_.count(r.host) > 0 || r.address.empty()) return;
+  if (adopting_.count(r.host) > 0 || asking_.size() >= kMostAsking || !asking_.insert(r.host).second) return;
+  Address to;
+  try {
+    to = parseAddress(r.address);
+  } catch (const SettingsError&) {
+    return;
+  }
+  io_.call(to, {"GET", "/show", "", false}, Duration{2'000}, [this, id = r.host](HttpResult h) {
+    auto now = h.answered(200) ? wire::parseReport(h.response.body) : std::nullopt;
+    io_.after(Duration{1'000}, [this, id] { asking_.erase(id); });
+    if (!leads_ || !now || now->host != id || dir_.hosts.count(id) > 0 || returned_.count(id) > 0) return;
+    adopt(id, {ShareNo{}, Epoch{}, wire::HostPhase::InUse, now->type, now->zone, now->spot, now->address,
+               io_.wall()});
+  });
 }
 
 void Fleet::markReturning(const HostId& id, const char* why) {
-  auto known = dir_.hosts.find(id);
-  if (known == dir_.hosts.end() || !dir_.leader || !marking_.insert(id).second) return;
+  if (dir_.hosts.count(id) == 0 || !toMark_.insert(id).second) return;
   log_->info("{} {}: returning it", id.value, why);
-  auto record = known->second.record;
-  record.phase = wire::HostPhase::Returning;
+}
+
+// Writes machine groups anew with a change to some of their members, as many as one transaction takes.
+// Returns the machines that it tells of.
+std::vector<HostId> Fleet::rewrite(const std::set<HostId>& ids, bool drop,
+                                   std::function<void(const TxnResult&)> done) {
+  std::map<std::string, std::set<HostId>> byGroup;
+  for (const auto& id : ids)
+    if (auto h = dir_.hosts.find(id); h != dir_.hosts.end()) byGroup[h->second.group].insert(id);
   wire::Transaction t;
-  t.when[keys::host(id)] = known->second.stamp;
+  std::size_t weight = 0;
+  std::vector<HostId> told;
   t.when[keys::kLeader] = dir_.leader->stamp;
-  t.apply.push_back({keys::host(id), wire::encodeHost(record), {}});
-  store_.txn(Urgency::Control, std::move(t), Duration{2'000}, [this, id](TxnResult) { marking_.erase(id); });
+  for (const auto& [key, changed] : byGroup) {
+    if (t.apply.size() >= settings_.txnOps || weight + settings_.valueBytes > 48 * 1024) break;
+    auto group = dir_.group(key);
+    if (group.members.empty()) continue;
+    t.when[key] = dir_.hosts.at(group.members.front().id).stamp;
+    if (drop)
+      std::erase_if(group.members, [&](const auto& m) { return changed.count(m.id) > 0; });
+    else
+      for (auto& m : group.members)
+        if (changed.count(m.id) > 0) m.phase = wire::HostPhase::Returning;
+    wire::Write w{key, std::nullopt, {}};
+    if (!group.members.empty()) w.value = wire::encodeGroup(group);
+    weight += wire::weightOf(w);
+    t.apply.push_back(std::move(w));
+    told.insert(told.end(), changed.begin(), changed.end());
+  }
+  if (t.apply.empty()) return {};
+  store_.txn(Urgency::Control, std::move(t), Duration{2'000},
+             [done = std::move(done)](TxnResult r) { done(r); });
+  return told;
+}
+
+void Fleet::markAll() {
+  std::erase_if(toMark_, [&](const HostId& id) {
+    auto h = dir_.hosts.find(id);
+    return h == dir_.hosts.end() || h->second.record.phase == wire::HostPhase::Returning;
+  });
+  if (toMark_.empty() || marking_ || !dir_.leader) return;
+  marking_ = true;
+  auto told = rewrite(toMark_, false, [this](const TxnResult&) { marking_ = false; });
+  if (told.empty()) marking_ = false;
 }
 
 // The record goes only after the cloud's word: its absence proves to all that nothing is left on the machine.
 void Fleet::returnMarked() {
-  auto batch = std::make_shared<std::vector<std::pair<HostId, Stamp>>>();
   std::vector<HostId> names;
-  auto most = std::min<std::size_t>(kMostReturns, settings_.txnOps);
+  std::set<std::string> groups;
   for (const auto& [id, h] : dir_.hosts) {
-    if (h.record.phase != wire::HostPhase::Returning || batch->size() >= most) continue;
-    batch->emplace_back(id, h.stamp);
+    if (h.record.phase != wire::HostPhase::Returning || names.size() >= kMostReturns) continue;
+    if (groups.count(h.group) == 0 && groups.size() >= settings_.txnOps) continue;
+    groups.insert(h.group);
     names.push_back(id);
   }
-  if (names.empty()) {
+  if (names.empty() || !dir_.leader) {
     calls_ += 1;  // not used after all
     return;
   }
   returnBusy_ = true;
-  call({"POST", "/hosts/return", wire::encodeReturn(names), false}, [this, batch](HttpResult h) {
-    if (!h.answered(200)) {
-      returnBusy_ = false;
-      return;
-    }
-    wire::Transaction t;
-    for (const auto& [id, stamp] : *batch) {
+  call({"POST", "/hosts/return", wire::encodeReturn(names), false}, [this, names](HttpResult h) {
+    returnBusy_ = h.answered(200) && leads_ && dir_.leader;
+    if (!returnBusy_) return;
+    for (const auto& id : names) {
       log_->info("{} returned", id.value);
       if (auto known = dir_.hosts.find(id); known != dir_.hosts.end()) {
         const auto& r = known->second.record;
         refusedUntil_.erase({r.type, r.zone, r.spot});  // there is one to be had again
       }
       returned_.insert(id);
-      t.when[keys::host(id)] = stamp;
-      t.apply.push_back({keys::host(id), std::nullopt, {}});
     }
-    store_.txn(Urgency::Control, std::move(t), Duration{2'000}, [this](TxnResult) { returnBusy_ = false; });
+    auto told =
+        rewrite({names.begin(), names.end()}, true, [this](const TxnResult&) { returnBusy_ = false; });
+    if (told.empty()) returnBusy_ = false;
   });
 }
 
@@ -282,19 +351,18 @@
     auto it = shown.find(id.value);
     double age = static_cast<double>(wall.value - r.since.value) / 1000.0;
     bool boots = type && age < kLateBoot * type->bootS + 5;
-    if (it != shown.end()) {
+    if (it == shown.end()) {
+      // In plain use, as the owner does not name it; or not yet seen by it.
+      h.counts = state != loads_.end() || boots;
+      h.usedCores = h.cores;
+      h.pinned = true;
+    } else {
       h.emptying = it->second->emptying;
       h.pinned = it->second->pinned;
       h.ageS = it->second->ageS;
-    }
-    if (it != shown.end() && h.emptying) {
-      h.counts = false;
-    } else if (it == shown.end() || !it->second->usable) {
-      h.counts = boots && (it == shown.end() || !it->second->draining);
-    } else {
-      h.counts = !it->second->draining;
       h.usedCores = h.cores - it->second->freeCores;
-      h.idleS = it->second->idleS > 0 ? it->second->idleS : -1;
+      if (it->second->usable) h.idleS = it->second->idleS > 0 ? it->second->idleS : -1;
+      h.counts = !h.emptying && !it->second->draining && (it->second->usable || boots);
     }
     h.id = id;
     f.hosts.push_back(h);
@@ -305,24 +373,24 @@
   return f;
 }
 
-// The share with the fewest machines of that type, and among those the one that lacks most.
-ShareNo Fleet::neediest(const std::string& type) const {
-  ShareNo best{0};
-  double bestGap = 0;
-  long bestSame = 0;
+std::map<ShareNo, Fleet::Lack> Fleet::shareGaps() const {
+  std::map<ShareNo, Lack> out;
   for (std::uint32_t k = 0; k < settings_.size(); ++k) {
     auto f = fleetOf(ShareNo{k});
-    double gap = f.firm.used + f.firm.waiting + f.lendable.used + f.lendable.waiting;
-    long same = 0;
-    for (const auto& h : f.hosts) gap -= h.cores, same += h.type == type;
-    for (const auto& [_, a] : adoptedCores_)
-      if (a.share == ShareNo{k}) gap -= a.cores, same += a.type == type;
-    if (k > 0 && (same > bestSame || (same == bestSame && gap <= bestGap))) continue;
-    best = ShareNo{k};
-    bestGap = gap;
-    bestSame = same;
+    auto& lack = out[ShareNo{k}];
+    lack.gap = f.firm.used + f.firm.waiting + f.lendable.used + f.lendable.waiting;
+    for (const auto& h : f.hosts) lack.gap -= h.cores, ++lack.ofType[h.type];
   }
-  return best;
+  return out;
+}
+
+// The share with the fewest machines of that type, and among those the one that lacks most.
+ShareNo Fleet::neediest(std::map<ShareNo, Lack>& lacks, const std::string& type) {
+  auto before = [&](auto& a, auto& b) {
+    long na = a.second.ofType[type], nb = b.second.ofType[type];
+    return na != nb ? na < nb : a.second.gap > b.second.gap;
+  };
+  return std::min_element(lacks.begin(), lacks.end(), before)->first;
 }
 
 std::set<policy::Offer> Fleet::unavailable() const {
@@ -425,18 +493,22 @@
   }
   if (auto small = policy::replacement(f, t, prices_, unavailable(), kMinAgeS); small && calls_ >= 1)
     return startRental(k, *small);
-  auto go = policy::letGo(f, t, prices_, kMinIdleS, spareSpot);
-  if (!go) return emptyOne(k, f, t);
-  const auto& want = f.hosts[*go];
-  for (const auto& h : loads_[k].load.hosts) {
-    if (h.host != want.id.value) continue;
-    auto& asked = asked_[HostId{h.host}];
+  auto left = f;
+  unsigned gone = 0;
+  while (gone < kMostLetGo) {
+    auto go = policy::letGo(left, t, prices_, kMinIdleS, spareSpot);
+    if (!go) break;
+    auto& want = left.hosts[*go];
+    want.counts = false;
+    if (want.spot) spareSpot -= want.cores;
+    ++gone;
+    auto& asked = asked_[want.id];
     if (asked != Time{} && now - asked < kAskAgain) continue;
     asked = now;
-    log_->info("letting go of idle {}", h.host);
-    out_.wish({k.value, h.host, mesh::HostWish::Return, 0});
-    return;
+    log_->info("letting go of idle {}", want.id.value);
+    out_.wish({k.value, want.id.value, mesh::HostWish::Return, 0});
   }
+  if (gone == 0) emptyOne(k, f, t);
 }
 
 // Consolidates: a machine that the others can do without takes no more work.
@@ -508,7 +580,7 @@
   auto hosts = h.answered(200) ? wire::parseRented(h.response.body) : std::nullopt;
   bool trouble = h.answered(503) && h.response.body.find("no capacity") == std::string::npos;
   if (hosts) {
-    record(*hosts, *r);
+    record(*hosts, r->share, r->request.type, r->request.zone, r->request.spot, nullptr);
     if (hosts->size() < r->request.count) {
       refusedUntil_[offer] = now + kFirstRefusal;
     } else {
@@ -530,15 +602,43 @@
   }
 }
 
-void Fleet::record(const std::vector<HostId>& hosts, const Rental& r) {
-  for (const auto& id : hosts) {
-    adopting_.insert(id);
-    wire::HostRecord rec{
-        r.share, Epoch{},   wire::HostPhase::InUse, r.request.type, r.request.zone, r.request.spot,
-        "",      io_.wall()};
-    store_.create({keys::host(id), wire::encodeHost(rec), {}}, Duration{5'000},
-                  [this, id](TxnResult) { adopting_.erase(id); });
+void Fleet::record(const std::vector<HostId>& hosts, ShareNo share, const std::string& type, const Zone& zone,
+                   bool spot, const std::map<HostId, wire::HostRecord>* known) {
+  auto most = wire::membersIn(settings_.valueBytes);
+  for (std::size_t from = 0; from < hosts.size(); from += most) {
+    wire::GroupRecord g{share, Epoch{}, type, zone, spot, io_.wall(), {}};
+    for (auto i = from; i < std::min(from + most, hosts.size()); ++i)
+      g.members.push_back({hosts[i], wire::HostPhase::InUse, known ? known->at(hosts[i]).address : ""});
+    recordGroup(std::move(g));
   }
 }
 
+// Under the leader's epoch only, so that no late copy of it can bring machines back.
+void Fleet::recordGroup(wire::GroupRecord g) {
+  if (!leads_ || !dir_.leader) return;
+  for (const auto& m : g.members) adopting_.insert(m.id);
+  auto forget = [this, members = g.members] {
+    for (const auto& m : members) adopting_.erase(m.id);
+  };
+  if (!current_) {
+    io_.after(Duration{300}, [this, g, forget] {
+      forget();
+      recordGroup(g);
+    });
+    return;
+  }
+  std::erase_if(g.members, [&](const auto& m) { return dir_.hosts.count(m.id) > 0; });
+  if (g.members.empty()) return forget();
+  wire::Transaction t;
+  auto key = keys::group(g.members.front().id, dir_.leader->record.epoch);
+  t.when[keys::kLeader] = dir_.leader->stamp;
+  t.when[key] = Stamp{0};
+  t.apply.push_back({key, wire::encodeGroup(g), {}});
+  store_.txn(Urgency::Control, std::move(t), Duration{3'000}, [this, g, forget](TxnResult r) {
+    // Written, or not: then the machine list names them again.
+    if (r.ok()) return void(io_.after(Duration{1'000}, forget));
+    forget();
+  });
+}
+
 }  // namespace cherryloft
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -47,7 +47,11 @@
   void adopt(const HostId& id, wire::HostRecord record);
   void adoptWaiting();
   void markReturning(const HostId& id, const char* why);
+  void markAll();
+  std::vector<HostId> rewrite(const std::set<HostId>& ids, bool drop,
+                              std::function<void(const TxnResult&)> done);
   void returnMarked();
+  void catchUp();
   void plan();
   void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot);
   void rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
@@ -62,8 +66,15 @@
   std::set<policy::Offer> unavailable() const;
   void rent(std::shared_ptr<Rental> r);
   void rented(std::shared_ptr<Rental> r, const HttpResult& h);
-  void record(const std::vector<HostId>& hosts, const Rental& r);
-  ShareNo neediest(const std::string& type) const;
+  void record(const std::vector<HostId>& hosts, ShareNo share, const std::string& type, const Zone& zone,
+              bool spot, const std::map<HostId, wire::HostRecord>* known);
+  void recordGroup(wire::GroupRecord g);
+  struct Lack {
+    double gap = 0;  // cores that a share is short of
+    std::map<std::string, long> ofType;
+  };
+  std::map<ShareNo, Lack> shareGaps() const;
+  static ShareNo neediest(std::map<ShareNo, Lack>& lacks, const std::string& type);
 
   const Settings& settings_;
   Io& io_;
@@ -78,21 +89,20 @@
   Time refilled_{};
   Catalog prices_;  // the cloud's own, with current spot prices
   Time catalogAt_{}, listAt_{}, moveAt_{};
+  Time listedAt_{};  // when the last list that came was asked for
   bool catalogBusy_ = false, listBusy_ = false, returnBusy_ = false;
   std::map<ShareNo, ShareState> loads_;
   std::map<policy::Offer, Time> refusedUntil_;
   std::map<policy::Offer, Duration> refusedFor_;
   std::vector<std::shared_ptr<Rental>> rentals_;  // not yet answered
   std::uint64_t claims_ = 0;
-  std::map<HostId, Time> lastListed_;
-  std::map<HostId, wire::ListedHost> listing_;
-  std::set<HostId> marking_, adopting_;
-  struct Adopted {
-    ShareNo share;
-    double cores = 0;
-    std::string type;
+  bool current_ = false;  // all that former leaders recorded is in view
+  struct Listed {
+    Time first{}, last{};  // lists that named it
   };
-  std::map<HostId, Adopted> adoptedCores_;  // while their records are being written
+  std::map<HostId, Listed> listed_;
+  std::set<HostId> toMark_, adopting_, asking_;
+  bool marking_ = false;
   std::map<HostId, wire::HostRecord> waitingAdoption_;
   Time adoptAt_{};
   std::set<HostId> returned_;
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -4,6 +4,7 @@
 
 namespace cherryloft {
 namespace {
+constexpr Duration kShow{2'000};
 constexpr Duration kRelay{2'500};        // workers wait 4 s
 constexpr Duration kRelayFirst{8'000};   // a worker that comes here may have found its owner out of reach
 constexpr Duration kSteerAgain{60'000};  // one sent on to its owner that comes back sooner has
@@ -49,14 +50,14 @@
 }
 
 void Node::changed(const wire::KeyChange& c) {
-  dir_.apply(c, log_);
+  auto hosts = dir_.apply(c, log_);
   auto under = [&](const std::string& prefix) { return c.key.compare(0, prefix.size(), prefix) == 0; };
   if (under(keys::kJobs)) {
     JobId id{c.key.substr(keys::kJobs.size())};
     for (auto& [_, s] : schedulers_) s->jobChanged(id);
   } else if (under(keys::kHosts)) {
-    HostId id{c.key.substr(keys::kHosts.size())};
-    for (auto& [_, s] : schedulers_) s->hostChanged(id);
+    for (const auto& id : hosts)
+      for (auto& [_, s] : schedulers_) s->hostChanged(id);
   } else if (store_.mirrored()) {
     membership_.changed();
   }
@@ -72,6 +73,9 @@
                             lost(k);
                           });
                         },
+                        [this](const std::string& address, std::function<void(const std::string&)> done) {
+                          probe(address, std::move(done));
+                        },
                         [this, k = t.share](Stamp stamp, const NodeId& to, std::function<void(bool)> done) {
                           membership_.give(k, stamp, to, std::move(done));
                         }};
@@ -80,6 +84,25 @@
   s->start();
 }
 
+// What a machine says of itself just now.
+void Node::showOf(const std::string& address, HttpDone done) {
+  try {
+    io_.call(parseAddress(address), {"GET", "/show", "", false}, kShow, std::move(done));
+  } catch (const SettingsError&) {
+    done({});
+  }
+}
+
+// Asks the siblings that we hear to ask the machine; the first to reach it answers.
+void Node::probe(const std::string& address, std::function<void(const std::string& body)> done) {
+  for (const auto& s : settings_.siblings) {
+    if (!peers_.hears(peers_.numberOf(s.node))) continue;
+    peers_.ask(s.node, mesh::ProbeAsk{0, address}, kShow + Duration{500}, [done](const mesh::Answer* a) {
+      if (a && a->status == 200) done(a->body);
+    });
+  }
+}
+
 void Node::lost(ShareNo k) { schedulers_.erase(k); }
 
 void Node::jobEnded(const JobId& id, JobStatus s, Stamp stamp) {
@@ -116,6 +139,10 @@
     if (!s) return answer({relayed->id, 503, ""});
     auto a = s->checkIn(*report);
     answer({relayed->id, a.status, std::move(a.body)});
+  } else if (const auto* probe = std::get_if<mesh::ProbeAsk>(&p)) {
+    showOf(probe->address, [id = probe->id, answer](const HttpResult& r) {
+      answer({id, r.response.status, r.response.body});
+    });
   } else if (const auto* seen = std::get_if<mesh::HostSeen>(&p)) {
     if (auto report = wire::parseReport(seen->body)) fleet_.hostSeen(*report);
   } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -25,6 +25,8 @@
   void received(std::uint32_t from, const mesh::Payload& p);
   void taken(const Taken& t);
   void lost(ShareNo k);
+  void showOf(const std::string& address, HttpDone done);
+  void probe(const std::string& address, std::function<void(const std::string& body)> done);
   void jobEnded(const JobId& id, JobStatus s, Stamp stamp);
   void sendLoad(const mesh::ShareLoad& l);
   void wish(const mesh::HostWish& w);
--- /dev/null
+++ b/src/actors/pages.cpp
@@ -0,0 +1,25 @@
+#include "actors/pages.h"
+
+namespace cherryloft {
+
+PageNo Pages::next(const std::set<PageNo>& taken) {
+  const std::pair<const PageNo, Page>* best = nullptr;
+  for (const auto& p : pages_)
+    if (taken.count(p.first) == 0 && p.second.live <= enough_ && (!best || p.second.live < best->second.live))
+      best = &p;
+  if (best) return best->first;
+  PageNo n = pages_.empty() ? 0 : pages_.rbegin()->first + 1;
+  pages_[n];
+  return n;
+}
+
+std::optional<PageNo> Pages::spare(const std::set<PageNo>& taken) const {
+  constexpr std::size_t keep = 4;
+  std::size_t empty = 0;
+  for (auto it = pages_.rbegin(); it != pages_.rend(); ++it)
+    if (it->second.live == 0 && it->second.stamp.value > 0 && taken.count(it->first) == 0 && ++empty > keep)
+      return it->first;
+  return std::nullopt;
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/pages.h
@@ -0,0 +1,39 @@
+// The run/ pages of a share: which exist, and how much of each is still true. A page whose facts have mostly
+// become untrue is the next to be written, and so takes in new ones at the cost of one change.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/types.h"
+
+namespace cherryloft {
+
+using PageNo = std::uint32_t;
+inline constexpr PageNo kNoPage = UINT32_MAX;
+
+class Pages {
+ public:
+  struct Page {
+    Stamp stamp;                  // 0: not written yet
+    std::vector<TaskId> members;  // whose state it held when last written
+    std::size_t live = 0;         // of those, whose latest state it still is
+  };
+  explicit Pages(std::size_t valueBytes) : enough_(valueBytes / 80) {}
+
+  Page& at(PageNo n) { return pages_[n]; }
+  // The emptiest page, or a new one while all are more than half full.
+  PageNo next(const std::set<PageNo>& taken);
+  // One that holds nothing any more, if so many are there that it is not worth keeping.
+  std::optional<PageNo> spare(const std::set<PageNo>& taken) const;
+  void drop(PageNo n) { pages_.erase(n); }
+  std::size_t count() const { return pages_.size(); }
+
+ private:
+  std::size_t enough_;  // facts that make a page half full
+  std::map<PageNo, Page> pages_;
+};
+
+}  // namespace cherryloft
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -8,6 +8,7 @@
 #include "actors/membership.h"
 #include "actors/store.h"
 #include "mesh/messages.h"
+#include "policy/coupling.h"
 #include "policy/order.h"
 #include "policy/preempt.h"
 #include "wire/users.h"
@@ -20,6 +21,8 @@
     std::function<void(const JobId&, JobStatus, Stamp)> ended;  // committed as done or aborted
     std::function<void(const mesh::ShareLoad&)> load;           // to the leader
     std::function<void()> abandon;                              // our ownership or our books are in doubt
+    // Through siblings; done is told a machine's report if one of them reaches it.
+    std::function<void(const std::string& address, std::function<void(const std::string& body)> done)> probe;
     std::function<void(Stamp, const NodeId&, std::function<void(bool)>)> give;
   };
   struct CheckInAnswer {
@@ -60,11 +63,19 @@
   // Loading (invariant 7).
   void load();
   void build(const ListResult& runs);
-  void restore(Job& job, std::uint32_t chunk, const wire::RunRecord& run);
+  struct Restored {
+    wire::RunEntry entry;
+    PageNo page = kNoPage;
+  };
+  void restoreDone(const wire::PageRecord& page, PageNo n, std::map<TaskId, Restored>& placed);
+  void restorePlaced(const TaskId& task, const Restored& r);
   Host& admit(const HostId& id, const KnownHost& known);
 
   // Machines.
-  void apply(Host& h, const wire::Report& r, bool checkIn);
+  // False if the report is not newer than what is known, or is not proven to be of the present.
+  bool apply(Host& h, const wire::Report& r, bool checkIn);
+  void proven(Host& h, bool yes);
+  void reborn(Host& h, const wire::Report& r);
   void newTenure(Host& h);
   void lose(Host& h, const TaskId& task);
   void ended(Host& h, const wire::ReportedTask& t);
@@ -72,21 +83,31 @@
   std::vector<wire::Order> orders(Host& h, const wire::Report* checkIn);
   void strayOrders(Host& h, std::vector<wire::Order>& out);
   void direct(Host& h);
-  void directed(const HostId& id, Token used, const HttpResult& r);
-  void sendAll(bool evenEmpty);
+  // What a direct command went out with.
+  struct Sent {
+    Token token;
+    Tenure tenure;
+    std::pair<Tenure, Serial> known;  // the latest that the machine had said
+    bool ask = false;                 // it carried no orders
+  };
+  void askThroughSiblings(Host& h);
+  void directed(const HostId& id, const Sent& sent, const HttpResult& r);
   void noticed(Host& h, const wire::Report& r);
-  bool usable(const Host& h) const;
+  Duration leaseAfterAnswer() const;
   void tick();
   void watchSilence(Host& h, Time now);
-  void settleLeaving(Host& h);
+  bool doubtful(const Host& h, Time now) const;
+  void giveUpDoubtful(Time now);
+  bool mayLeave(const Host& h) const;
   void settleEmptying(Host& h);
   std::optional<std::vector<TaskId>> movableReplicas(const Host& h) const;
-  void writeHost(Host& h, wire::HostRecord record, bool newToken);
+  void settleRecords(Time now);
+  void recordsWritten(const TxnResult& r);
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
   void sendLoad();
   void stuckZones(const Job& job, mesh::Demand& d) const;
-  bool zoneAllows(const Job& job, const Zone& zone, const std::map<Zone, unsigned>& zones) const;
+  bool zoneAllows(const Job& job, const Zone& zone) const;
 
   // Rounds.
   void wake(bool everywhere, const HostId* at = nullptr);
@@ -102,17 +123,32 @@
   bool keepEmptying();
   bool anyRoom(const Job& job) const;
   bool tooSlow(const Job& job, const Host& h) const;
-  bool holderCouldMakeRoom(const Job& job, const std::map<Zone, unsigned>& zones) const;
+  bool holderCouldMakeRoom(const Job& job) const;
   std::pair<std::vector<policy::Victim>, std::vector<TaskId>> victims(const Job& job, bool guaranteed,
                                                                       const Host& h) const;
   void gangBroken(Job& job);
-  bool allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const;
-  Host* choose(Job& job, std::set<HostId>& refused);
+  bool allowed(const Job& job, const Host& h) const;
+  bool allowedKind(const Job& job, const Host& h) const;
+  bool better(const Job& job, const Host& a, const Host& b) const;
+  // What one turn of a job looked up: holders in order, and the estimates for the draw.
+  struct Turn {
+    std::vector<Host*> holders;
+    std::set<std::uint32_t> refused;  // by the draw, in this round
+    std::optional<policy::Peek> peek;
+    std::optional<std::set<Zone>> holdingZones;
+  };
+  Turn look(const Job& job) const;
+  Host* choose(Job& job, Turn& turn);
+  Host* holder(const Job& job, Turn& turn) const;
+  std::vector<Host*> others(const Job& job, const Turn& turn);
+  policy::Peek peek(const Job& job);
   void makeRoom(const std::vector<Ranked>& blocked);
   void commit();
   void committed(const TxnResult& r);
   void addTerminal(wire::Transaction& t, std::size_t& weight);
-  void addRuns(wire::Transaction& t, std::size_t& weight);
+  void addPages(wire::Transaction& t, std::size_t& weight);
+  void takeEffect(const TxnResult& r);
+  std::size_t roundWidth() const;
   void cleanUp(Job& job);
   bool fits(const wire::Transaction& t, std::size_t weight, const wire::Write& w) const;
   void answerWithdrawers(Job& job, JobStatus s);
@@ -139,21 +175,28 @@
   bool drawEverywhere_ = false;
   std::set<HostId> drawAt_;
 
-  std::set<std::pair<JobId, std::uint32_t>> dirty_;  // run/ keys to write
-  std::set<JobId> ending_;                           // jobs to write as done or aborted
-  std::map<std::string, Stamp> drops_;               // run/ keys that are of no more use
+  Time lastRound_{};
+  Time lastRoomMade_{};
+  Time loadSent_{};
+  std::deque<TaskId> fresh_;  // tasks whose placement or completion is to be written
+  std::set<JobId> ending_;    // jobs to write as done or aborted
   bool committing_ = false;
   Time commitNotBefore_{};
   struct InFlight {
     wire::Transaction txn;
-    std::vector<std::pair<JobId, std::uint32_t>> runs;
+    std::vector<PageNo> pages;
     std::vector<std::tuple<HostId, TaskId, Attempt>> placed;
-    std::vector<std::pair<JobId, std::uint32_t>> done;  // tasks
+    std::vector<TaskId> done;
     std::vector<std::pair<JobId, JobStatus>> ended;
-    std::vector<std::string> dropped;
+    std::vector<PageNo> dropped;
   };
   std::optional<InFlight> flight_;
 
+  bool recordsBusy_ = false;  // a write of host/ keys is on its way
+  Time recordsNotBefore_{};
+  Time addressSince_{};     // since when some address is not written
+  std::size_t asking_ = 0;  // questions to machines that carry no orders
+
   // Work that came of late, for the leader's sizing: when, cores, whether it may use spot machines.
   struct Arrival {
     Time at;
--- /dev/null
+++ b/src/actors/scheduler_commits.cpp
@@ -0,0 +1,187 @@
+// The scheduler's commits: one in flight, and what comes meanwhile forms the next.
+#include <algorithm>
+
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+namespace {
+constexpr std::size_t kMostWeight = 48 * 1024;  // of a transaction, whose body may have 64 KiB
+constexpr std::size_t kKeyWeight = 200;
+}  // namespace
+
+bool Scheduler::fits(const wire::Transaction& t, std::size_t weight, const wire::Write& w) const {
+  return t.apply.size() < settings_.txnOps && (t.apply.empty() || weight + wire::weightOf(w) <= kMostWeight);
+}
+
+void Scheduler::addTerminal(wire::Transaction& t, std::size_t& weight) {
+  for (auto it = ending_.begin(); it != ending_.end();) {
+    Job* job = books_.job(*it);
+    if (!job || job->status != JobStatus::Open) {
+      it = ending_.erase(it);
+      continue;
+    }
+    bool done = job->done == job->tasks.size();
+    wire::JobRecord record{done ? JobStatus::Done : JobStatus::Aborted,
+                           taken_.share,
+                           static_cast<std::uint32_t>(job->tasks.size()),
+                           job->submitted,
+                           {}};
+    if (!done) record.spec = *job->spec;
+    wire::Write w{keys::job(*it), wire::encodeJobRecord(record), {}};
+    if (!fits(t, weight, w)) return;
+    weight += wire::weightOf(w);
+    t.when[w.key] = job->stamp;
+    t.apply.push_back(std::move(w));
+    flight_->ended.emplace_back(*it, record.status);
+    it = ending_.erase(it);
+  }
+}
+
+// How many placements and completions one transaction can tell.
+std::size_t Scheduler::roundWidth() const {
+  constexpr std::size_t fact = 64;  // bytes, about
+  auto pages = std::clamp<std::size_t>(kMostWeight / settings_.valueBytes, 1, settings_.txnOps - 2);
+  return pages * std::max<std::size_t>(settings_.valueBytes / fact, 1);
+}
+
+void Scheduler::addPages(wire::Transaction& t, std::size_t& weight) {
+  std::set<PageNo> taken;
+  while (!fresh_.empty() && t.apply.size() < settings_.txnOps &&
+         (t.apply.empty() || weight + settings_.valueBytes + kKeyWeight <= kMostWeight)) {
+    auto d = books_.draft(fresh_, taken);
+    if (!d) continue;
+    wire::Write w{keys::page(taken_.share, d->number), wire::encodePage(d->record), {}};
+    weight += wire::weightOf(w);
+    t.when[w.key] = books_.pages().at(d->number).stamp;
+    t.apply.push_back(std::move(w));
+    flight_->pages.push_back(d->number);
+    for (const auto& [job, facts] : d->record.jobs) {
+      for (const auto& e : facts.placed)
+        flight_->placed.emplace_back(e.host, TaskId{job, e.index}, e.attempt);
+      for (auto i : facts.done) flight_->done.push_back({job, i});
+    }
+  }
+}
+
+void Scheduler::commit() {
+  if (committing_ || !owns() || io_.now() < commitNotBefore_) return;
+  if (!flight_) {
+    flight_.emplace();
+    auto& t = flight_->txn;
+    t.when[keys::share(taken_.share)] = taken_.stamp;
+    std::size_t weight = 0;
+    addTerminal(t, weight);
+    addPages(t, weight);
+    auto& pages = books_.pages();
+    if (auto n = pages.spare({flight_->pages.begin(), flight_->pages.end()});
+        n && !t.apply.empty() && t.apply.size() < settings_.txnOps) {
+      wire::Write w{keys::page(taken_.share, *n), std::nullopt, {}};
+      t.when[w.key] = pages.at(*n).stamp;
+      t.apply.push_back(std::move(w));
+      flight_->dropped.push_back(*n);
+    }
+    if (t.apply.empty()) {
+      flight_.reset();
+      if (givingTo_ && !gaveUpShare_) {
+        // Nothing is on its way: let go. From here on this actor decides nothing.
+        gaveUpShare_ = true;
+        out_.give(taken_.stamp, *givingTo_, guarded([this](bool given) {
+                    gaveUpShare_ = false;
+                    givingTo_.reset();
+                    if (given)
+                      out_.abandon();
+                    else
+                      wake(true);
+                  }));
+      }
+      return;
+    }
+  }
+  committing_ = true;
+  store_.txn(Urgency::Work, flight_->txn, Duration{2'000}, guarded([this](TxnResult r) { committed(r); }));
+}
+
+void Scheduler::committed(const TxnResult& r) {
+  committing_ = false;
+  using O = TxnResult::Outcome;
+  switch (r.outcome) {
+    case O::Ok:
+      return takeEffect(r);
+    case O::Refused:
+    case O::Unknown:
+      // The same again under the same conditions: either it is done now, or the conflict tells that it was
+      // done before, or that the share is another's.
+      commitNotBefore_ = io_.now() + Duration{60 + rng_() % 120};
+      io_.after(Duration{190}, guarded([this] { commit(); }));
+      return;
+    case O::Conflict:
+    case O::NoHold:
+      log_->info("share {}: conflict on {}", taken_.share.value, r.failed.empty() ? "?" : r.failed.front());
+      return out_.abandon();
+  }
+}
+
+void Scheduler::takeEffect(const TxnResult& r) {
+  auto f = std::move(*flight_);
+  flight_.reset();
+  for (auto n : f.pages) books_.pages().at(n).stamp = r.revision;
+  for (auto n : f.dropped) books_.pages().drop(n);
+  for (const auto& id : f.done)
+    if (Job* j = books_.job(id.job)) {
+      j->tasks[id.index].doneCommitted = true;
+      j->tasks[id.index].flying = false;
+    }
+  std::set<HostId> hosts;
+  for (const auto& [hostId, task, attempt] : f.placed) {
+    if (Job* j = books_.job(task.job)) j->tasks[task.index].flying = false;
+    Host* h = books_.host(hostId);
+    if (!h) continue;
+    auto it = h->placements.find(task);
+    if (it == h->placements.end() || it->second.attempt != attempt || it->second.committed) continue;
+    it->second.committed = true;
+    if (!it->second.wanted || !h->open()) {
+      // Never sent, so it is nowhere.
+      lose(*h, task);
+      wake(true);
+      continue;
+    }
+    hosts.insert(hostId);
+  }
+  for (const auto& id : hosts) direct(*books_.host(id));
+  for (const auto& [id, status] : f.ended) {
+    Job* j = books_.job(id);
+    j->status = status;
+    j->stamp = r.revision;
+    log_->info("job {} {}", id.value, status == JobStatus::Done ? "done" : "aborted");
+    out_.ended(id, status, r.revision);
+    answerWithdrawers(*j, status);
+    if (status == JobStatus::Aborted) {
+      j->waiting.clear();
+      std::set<HostId> on;
+      for (std::uint32_t i = 0; i < j->tasks.size(); ++i)
+        if (Host* h = j->tasks[i].host) {
+          stop(*h, TaskId{id, i}, h->placements.at(TaskId{id, i}));
+          on.insert(h->id);
+        }
+      for (const auto& h : on) direct(*books_.host(h));
+    }
+    cleanUp(*j);
+  }
+  wake(false);
+}
+
+void Scheduler::answerWithdrawers(Job& job, JobStatus s) {
+  auto waiting = std::move(job.withdrawers);
+  job.withdrawers.clear();
+  for (auto& w : waiting) w(s);
+}
+
+// A job that is over leaves the books once none of its tasks can be anywhere. What pages say of it is of no
+// more use then, and goes when they are written anew.
+void Scheduler::cleanUp(Job& job) {
+  if (job.status == JobStatus::Open || job.placed > 0) return;
+  auto id = job.id;
+  books_.removeJob(id);
+}
+
+}  // namespace cherryloft
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -1,5 +1,6 @@
 // The scheduler's dealings with workers: reports, orders, direct commands, silence.
 #include <algorithm>
+#include <utility>
 
 #include "actors/scheduler.h"
 
@@ -16,20 +17,22 @@
 constexpr Duration kStopAgain{1'500};
 constexpr std::size_t kMostOrders = 300;  // keeps an answer's line under 64 KiB
 constexpr double kFreshReports = 2.6;     // report intervals after which a machine gets no new work
-constexpr double kProbeReports = 2.0;     // and after which it is asked for one
-constexpr double kSilentReports = 3.4;    // and after which a lone silent machine is returned
-constexpr double kSilentShare = 0.26;     // more silent machines than this: the fault is not theirs
+// A report may come a quarter late; one that is later still is asked for.
+constexpr double kLateReports = 1.25;
+constexpr Duration kLate{1'000};
+constexpr unsigned kAskedInVain = 2;        // questions without an answer that make a silent machine doubtful
+constexpr Duration kNextController{6'500};  // a worker gives up on one controller and reports to the next
+constexpr double kDeafReports = 2.5;        // the same for one that we hear and that does not hear us
+constexpr Duration kDeafBeyond{4'000};
+constexpr double kDoubtfulShare = 0.26;  // more doubtful machines than this: the fault is not theirs
+constexpr double kDoubtfulInZone = 0.5;
+constexpr std::size_t kMostAsking = 64;  // questions without orders under way at a time
+constexpr Duration kAddressesTogether{3'000};
 constexpr unsigned kFailuresToBackOff = 3;
 constexpr std::size_t kFailedJobsToDrain = 2;
 
 }  // namespace
 
-bool Scheduler::usable(const Host& h) const {
-  return h.heard && !h.leaving && !h.emptying && !h.reclaimAt &&
-         h.known.record.phase == wire::HostPhase::InUse && h.settled() &&
-         io_.now() - h.lastHeard < seconds(settings_.reportS * kFreshReports) && h.size.cores > 0;
-}
-
 Scheduler::CheckInAnswer Scheduler::checkIn(const wire::Report& r) {
   auto now = io_.now();
   if (!standing_.answers(now)) return {503, R"({"error":"not entitled"})"};
@@ -48,51 +51,121 @@
     log_->info("superseded for {}", r.host.value);
     return {421, "{}"};
   }
-  apply(*h, r, true);
-  auto alive = now + seconds(settings_.leaseS * 1.002 + 1.0);
+  bool news = apply(*h, r, true);
+  h = books_.host(r.host);
+  if (!h) return {503, R"({"error":"unknown machine"})"};
   // Until it has acknowledged our token, a former owner may be answering it as well (invariant 6).
-  h->aliveUntil = h->heard ? alive : std::max(h->aliveUntil, alive);
+  if (!h->heard) h->aliveUntil = std::max(h->aliveUntil, now + leaseAfterAnswer());
   std::vector<Order> list;
-  if (owns()) list = orders(*h, &r);
+  // A late copy gets no orders: whoever waits for its answer, the present machine does not (invariant 12).
+  if (owns() && news) list = orders(*h, &r);
   return {200, wire::encodeOrders(h->token(), list)};
 }
 
-void Scheduler::apply(Host& h, const wire::Report& r, bool checkIn) {
+Duration Scheduler::leaseAfterAnswer() const { return seconds(settings_.leaseS * 1.002 + 1.0); }
+
+bool Scheduler::apply(Host& h, const wire::Report& r, bool checkIn) {
   auto now = io_.now();
+  bool trusted = r.token >= h.base;
+  if (!h.heard && !trusted) {
+    // It may be a copy from any time before: nothing in it is the present but that what is done is done
+    // (invariant 12). The tenure it names is tried in commands.
+    if (r.tenure > h.expiredTenure) h.hint = std::max(h.hint, r.tenure);
+    if (h.address.empty()) h.address = r.address;
+    for (const auto& t : r.tasks)
+      if (t.phase == TaskPhase::Exited && t.cause == ExitCause::Done) {
+        auto it = h.placements.find(t.task);
+        if (it != h.placements.end() && it->second.attempt == t.attempt) ended(h, t);
+      }
+    if (checkIn) proven(h, false);
+    h.attention = true;
+    wake(false);
+    return false;
+  }
   // Late reports never undo newer knowledge (invariant 4).
-  if (std::pair(r.tenure, r.serial) <= std::pair(h.tenure, h.serial) || r.tenure <= h.expiredTenure) return;
-  if (r.tenure > h.tenure && h.tenure.value > 0) newTenure(h);
-  h.tenure = r.tenure;
+  if (std::pair(r.tenure, r.serial) <= std::pair(h.tenure, h.serial) || r.tenure <= h.expiredTenure) {
+    // Or the machine began anew and counts from one again: its own answer to a question tells.
+    if (r.token < h.seen && checkIn) h.directAgain = h.attention = true;
+    return false;
+  }
+  bool dropped = r.tenure > h.tenure && h.tenure.value > 0;
+  if (dropped) newTenure(h);
+  h.tenure = h.hint = r.tenure;
   h.serial = r.serial;
   h.lastHeard = now;
+  h.askedInVain = 0;
+  // The answer to this report, and to any older one, renews its lease until then at the latest.
+  h.aliveUntil = now + leaseAfterAnswer();
   h.seen = std::max(h.seen, r.token);
   if (h.settled()) h.unsettled.reset();
-  bool first = !h.heard, trusted = r.token >= h.base;
+  bool wasStale = std::exchange(h.stale, false);
+  bool first = !h.heard;
+  if (!first && dropped && checkIn) {
+    // It lost its lease although it was answered. It gets new work once it shows that it hears us.
+    h.unsettled = h.token();
+    ++h.raises;
+  }
+  proven(h, h.settled());
+  if (!first && !wasStale && !dropped && !h.attention && r.tasks == h.reported && !r.reclaimInS) {
+    books_.reindex(h);
+    if (h.indexedFree && *h.indexedFree > 0) wake(false, &h.id);
+    return true;  // as before
+  }
   auto before = h.placements.size();
   for (const auto& t : r.tasks) {
     auto it = h.placements.find(t.task);
     if (it == h.placements.end() || it->second.attempt != t.attempt) continue;
     if (t.phase == TaskPhase::Exited) {
-      // What is done is done; any other end counts once no former owner's orders can be under way.
-      if (trusted || t.cause == ExitCause::Done) ended(h, t);
+      ended(h, t);
       continue;
     }
-    books_.setPhase(it->second, t.phase, now);
-    h.images.touch(it->second.job->spec->image, it->second.job->spec->imageGb);
-  }
-  if (trusted) {
-    absent(h, r, checkIn);
-    h.heard = true;
+    auto& p = it->second;
+    if (p.shown && p.phase == t.phase) continue;
+    books_.setPhase(p, t.phase, now);
+    books_.cached(h, p.job->spec->image, p.job->spec->imageGb);
   }
+  absent(h, r, checkIn);
+  h.heard = true;
   h.reported = r.tasks;
+  if (!r.address.empty()) h.address = r.address;
   noticed(h, r);
-  if (owns() && !h.recordBusy && !r.address.empty() && h.known.record.address != r.address) {
-    auto record = h.known.record;
-    record.address = r.address;
-    writeHost(h, record, false);
-  }
-  bool freed = h.placements.size() < before || (first && h.heard);
+  bool pending =
+      std::any_of(h.placements.begin(), h.placements.end(), [](const auto& p) { return p.second.pending(); });
+  h.attention = pending || h.directAgain || !h.settled();
+  books_.reindex(h);
+  bool freed = h.placements.size() < before || first || wasStale;
   wake(freed, &h.id);
+  return true;
+}
+
+// Reports come; do they show that our answers arrive (invariant 11)?
+void Scheduler::proven(Host& h, bool yes) {
+  if (yes)
+    h.unprovenSince.reset();
+  else if (!h.unprovenSince)
+    h.unprovenSince = io_.now();
+}
+
+// The machine's own answer to a question is older than what it said before the question: a new worker, that
+// counts from one again, has taken the place of the old one. What the old one held is gone with it, but
+// starts that were on their way may reach the new one, until it has seen a higher token (invariant 3).
+void Scheduler::reborn(Host& h, const wire::Report& r) {
+  log_->info("{} began anew", h.id.value);
+  h.tenure = h.hint = r.tenure;
+  h.serial = Serial{r.serial.value - 1};
+  h.seen = r.token;
+  h.expiredTenure = Tenure{};
+  h.reported.clear();
+  h.unsettled = h.token();
+  ++h.raises;
+  for (auto& [_, p] : h.placements) {
+    if (p.shown && p.phase == TaskPhase::Running) --p.job->running;
+    p.shown = p.restored = false;
+    p.sent = true;
+    p.wanted = false;
+    p.checkInStart = h.serial;
+  }
+  h.attention = true;
 }
 
 // The task is known gone from the machine.
@@ -121,12 +194,12 @@
   auto now = io_.now();
   Job& job = *h.placements.at(t.task).job;
   if (t.cause == ExitCause::Done) {
-    h.images.touch(job.spec->image, job.spec->imageGb);
+    books_.cached(h, job.spec->image, job.spec->imageGb);
     books_.taskDone(h, t.task, now);
     job.failures = 0;
     h.failedJobs.clear();
     if (job.status == JobStatus::Open) {
-      dirty_.insert({job.id, t.task.index / job.chunk});
+      fresh_.push_back(t.task);
       if (job.done == job.tasks.size()) ending_.insert(job.id);
     }
     cleanUp(job);
@@ -147,6 +220,7 @@
         log_->info("{} fails jobs and is given up", h.id.value);
         h.leaving = true;
         h.giveTo = -1;
+        books_.reindex(h);
       }
       break;
     }
@@ -236,25 +310,30 @@
     h.directAgain = true;
     return;
   }
-  if (now < h.directNotBefore || h.known.record.address.empty()) return;
+  if (now < h.directNotBefore || h.address.empty()) return;
   auto list = orders(h, nullptr);
-  // A machine not heard from, or not of late, is asked for a report.
-  bool known = h.heard && now - h.lastHeard < seconds(settings_.reportS * kProbeReports);
-  if (list.empty() && known) return;
+  // A machine not heard from, or not of late, is asked for a report. Few at a time: their own reports come
+  // meanwhile, and are to be answered first.
+  bool late = now - h.lastHeard > seconds(settings_.reportS * kLateReports) + kLate;
+  bool ask = list.empty();
+  if (ask && h.heard && !late && !h.directAgain) return;
+  if (ask && asking_ >= kMostAsking) return;
   Address to;
   try {
-    to = parseAddress(h.known.record.address);
+    to = parseAddress(h.address);
   } catch (const SettingsError&) {
     return;
   }
   h.directBusy = true;
   h.directAgain = false;
-  auto used = h.token();
-  io_.call(to, {"POST", "/commands", wire::encodeCommands(used, h.tenure, list), false}, kDirectDeadline,
-           guarded([this, id = h.id, used](HttpResult r) { directed(id, used, r); }));
+  asking_ += ask;
+  Sent sent{h.token(), h.heard ? h.tenure : h.hint, std::pair(h.tenure, h.serial), ask};
+  io_.call(to, {"POST", "/commands", wire::encodeCommands(sent.token, sent.tenure, list), false},
+           kDirectDeadline, guarded([this, id = h.id, sent](HttpResult r) { directed(id, sent, r); }));
 }
 
-void Scheduler::directed(const HostId& id, Token used, const HttpResult& r) {
+void Scheduler::directed(const HostId& id, const Sent& sent, const HttpResult& r) {
+  if (sent.ask) --asking_;
   Host* h = books_.host(id);
   if (!h) return;
   auto now = io_.now();
@@ -262,14 +341,17 @@
   auto report = r.answered(200) || r.answered(409) ? wire::parseReport(r.response.body) : std::nullopt;
   if (report && report->host == id) {
     if (report->token > h->token()) return;  // superseded; its check-ins will say so
-    bool asked = !h->heard;
-    auto tenure = h->tenure;
+    bool older = std::pair(report->tenure, report->serial) <= sent.known;
+    if (older || report->tenure <= h->expiredTenure) reborn(*h, *report);
     apply(*h, *report, false);
     h = books_.host(id);
+    if (!h) return;
     // The first command could not know the tenure.
-    if (h && ((asked && h->tenure != tenure) || h->directAgain)) direct(*h);
+    bool missed = report->tenure != sent.tenure;
+    if (missed || h->directAgain) direct(*h);
     return;
   }
+  if (++h->askedInVain >= kAskedInVain) askThroughSiblings(*h);
   if (r.outcome == HttpResult::Outcome::NotSent) {
     h->directNotBefore = now + kAfterRefused;
     return;
@@ -277,16 +359,23 @@
   // It may be executed minutes later. The raised token shuts it out once the worker has seen it (invariant
   // 3).
   log_->debug("no answer to commands from {}", id.value);
-  h->unsettled = used;
+  h->unsettled = sent.token;
   ++h->raises;
+  h->attention = true;
   h->directNotBefore = now + kAfterUnknown;
+  proven(*h, false);
+  books_.reindex(*h);
 }
 
-void Scheduler::sendAll(bool evenEmpty) {
-  for (auto& [_, h] : books_.hosts()) {
-    if (evenEmpty) h.directNotBefore = Time{};
-    direct(h);
-  }
+// Perhaps only we can't reach it: then its check-ins are relayed, and it is not to be given up.
+void Scheduler::askThroughSiblings(Host& h) {
+  Sent sent{h.token(), h.tenure, std::pair(h.tenure, h.serial), false};
+  out_.probe(h.address, guarded([this, id = h.id, sent](const std::string& body) {
+               auto report = wire::parseReport(body);
+               Host* h = books_.host(id);
+               if (!h || !report || report->host != id || report->token > h->token()) return;
+               if (std::pair(report->tenure, report->serial) > sent.known) apply(*h, *report, false);
+             }));
 }
 
 void Scheduler::noticed(Host& h, const wire::Report& r) {
@@ -304,11 +393,13 @@
     if (p.wanted && !ends) move.push_back(task);
   }
   for (const auto& task : move) stop(h, task, h.placements.at(task));
+  books_.reindex(h);
   direct(h);
 }
 
 void Scheduler::stop(Host& h, const TaskId& id, Placement& p) {
   p.wanted = false;
+  h.attention = true;
   if (!p.committed || p.sent || p.restored) return;
   lose(h, id);  // committed but never sent: it is nowhere
 }
@@ -329,22 +420,48 @@
     }
     wake(true);
   }
-  auto silent = [&](const Host& x) {
-    return now - x.lastHeard > seconds(settings_.reportS * kSilentReports);
-  };
-  if (!owns() || h.recordBusy || h.known.record.phase == wire::HostPhase::Returning || !silent(h)) return;
-  if (!h.heard && h.placements.empty()) return;  // still booting, which the leader watches
-  // A machine silent alone is most likely dead: the cloud's word that it is gone frees its tasks at once.
-  std::size_t silentOnes = 0;
-  for (const auto& [_, x] : books_.hosts()) silentOnes += (x.heard || !x.placements.empty()) && silent(x);
-  if (static_cast<double>(silentOnes) >
-      std::max(1.0, kSilentShare * static_cast<double>(books_.hosts().size())))
+  if (!h.stale && now - h.lastHeard > seconds(settings_.reportS * kFreshReports)) {
+    h.stale = true;
+    books_.reindex(h);
+  }
+  bool late = now - h.lastHeard > seconds(settings_.reportS * kLateReports) + kLate;
+  if (!h.heard || late) h.attention = true;
+}
+
+// Silent though it was asked, or heard without a sign that it hears us (invariant 11).
+bool Scheduler::doubtful(const Host& h, Time now) const {
+  if (h.known.record.phase != wire::HostPhase::InUse) return false;
+  bool deaf =
+      h.unprovenSince && now - *h.unprovenSince > seconds(settings_.reportS * kDeafReports) + kDeafBeyond;
+  if (deaf) return true;
+  // One that was never heard is still booting, which the leader watches.
+  if (!h.heard && h.placements.empty()) return false;
+  return h.askedInVain >= kAskedInVain &&
+         now - h.lastHeard > seconds(settings_.reportS * kLateReports) + kNextController;
+}
+
+// A doubtful machine is returned: the cloud's word that it is gone frees its tasks at once. Where much of a
+// share or of a zone is in doubt the fault is likely not theirs, and leases decide.
+void Scheduler::giveUpDoubtful(Time now) {
+  std::vector<Host*> doubts;
+  std::map<Zone, std::pair<double, double>> zones;  // doubtful, all
+  for (auto& [_, h] : books_.hosts()) {
+    auto& z = zones[h.zone()];
+    ++z.second;
+    if (!doubtful(h, now)) continue;
+    ++z.first;
+    doubts.push_back(&h);
+  }
+  if (static_cast<double>(doubts.size()) >
+      std::max(1.0, kDoubtfulShare * static_cast<double>(books_.hosts().size())))
     return;
-  log_->info("{} is silent and is returned", h.id.value);
-  auto record = h.known.record;
-  record.phase = wire::HostPhase::Returning;
-  h.leaving = true;
-  writeHost(h, record, false);
+  for (Host* h : doubts) {
+    const auto& z = zones[h->zone()];
+    if (h->returnNow || z.first > std::max(1.0, kDoubtfulInZone * z.second)) continue;
+    log_->info("{} {} and is returned", h->id.value, h->unprovenSince ? "does not hear us" : "is silent");
+    h->returnNow = h->leaving = true;
+    books_.reindex(*h);
+  }
 }
 
 void Scheduler::wish(const mesh::HostWish& w) {
@@ -353,35 +470,40 @@
   switch (w.kind) {
     case mesh::HostWish::Keep:
       h->emptying = false;
+      books_.reindex(*h);
       return wake(true);
     case mesh::HostWish::Empty:
       h->emptying = true;
+      books_.reindex(*h);
       return;
     default:
       if (!h->placements.empty()) return;
       h->leaving = true;
       h->giveTo = w.kind == mesh::HostWish::Move ? static_cast<std::int32_t>(w.toShare) : -1;
-      settleLeaving(*h);
+      books_.reindex(*h);
   }
 }
 
 // The machine's replicas, if all of them could move to machines that have their image and so be back at once.
 std::optional<std::vector<TaskId>> Scheduler::movableReplicas(const Host& h) const {
-  std::map<HostId, Resources> room;
-  for (const auto& [id, x] : books_.hosts())
-    if (id != h.id && usable(x)) room[id] = x.free();
+  std::map<std::uint32_t, Resources> room;  // less what moves there
   std::vector<TaskId> move;
   for (const auto& [task, p] : h.placements) {
     const auto& spec = *p.job->spec;
     if (spec.shape != Shape::Service) continue;
-    auto zones = books_.zonesOf(*p.job);
-    if (--zones[h.zone()] == 0) zones.erase(h.zone());
-    auto to = std::find_if(room.begin(), room.end(), [&](const auto& r) {
-      const Host& x = books_.hosts().at(r.first);
-      return allowed(*p.job, x, zones) && x.images.has(spec.image) && spec.each.fitsIn(r.second);
-    });
-    if (to == room.end()) return std::nullopt;
-    to->second -= spec.each;
+    unsigned looked = 0;
+    Host* to = nullptr;
+    for (const auto& [no, x] : *p.job->holders) {
+      if (x == &h || !x->open() || ++looked > settings_.tuning.sample) continue;
+      auto free = room.try_emplace(no, x->free()).first->second;
+      // Within its zone it changes nothing for the zones' rules; elsewhere they must allow one more.
+      bool zoneFits = x->zone() == h.zone() || zoneAllows(*p.job, x->zone());
+      if (!spec.each.fitsIn(free) || !allowedKind(*p.job, *x) || !zoneFits) continue;
+      to = x;
+      break;
+    }
+    if (!to) return std::nullopt;
+    room[to->no] -= spec.each;
     move.push_back(task);
   }
   return move;
@@ -395,6 +517,7 @@
   auto move = movableReplicas(h);
   if (!move) {
     h.emptying = false;
+    books_.reindex(h);
     return;
   }
   log_->info("moving {} replicas off {}", move->size(), h.id.value);
@@ -402,38 +525,87 @@
   direct(h);
 }
 
-// An emptied machine goes where it was meant to go.
-void Scheduler::settleLeaving(Host& h) {
-  if (!h.giveTo || !h.placements.empty() || h.recordBusy || !h.settled() || h.directBusy) return;
-  if (h.known.record.phase != wire::HostPhase::InUse) return;
-  auto record = h.known.record;
-  if (*h.giveTo < 0)
-    record.phase = wire::HostPhase::Returning;
-  else
-    record.share = ShareNo{static_cast<std::uint32_t>(*h.giveTo)};
-  writeHost(h, record, *h.giveTo >= 0);
+// Nothing of ours can still act on it.
+bool Scheduler::mayLeave(const Host& h) const {
+  return h.giveTo && h.placements.empty() && h.settled() && !h.directBusy;
 }
 
-void Scheduler::writeHost(Host& h, wire::HostRecord record, bool newToken) {
+// What the records should say of our machines: addresses, who is returned, who moves to another share. A
+// fleet boots and goes in groups, so one write tells of many.
+void Scheduler::settleRecords(Time now) {
+  if (recordsBusy_ || now < recordsNotBefore_) return;
+  struct Change {
+    std::vector<Host*> back;
+    std::map<std::int32_t, std::vector<Host*>> moved;
+    bool addresses = false;
+  };
+  std::map<std::string, Change> changes;
+  for (auto& [_, h] : books_.hosts()) {
+    if (h.known.record.phase != wire::HostPhase::InUse) continue;
+    if (h.returnNow || (mayLeave(h) && *h.giveTo < 0))
+      changes[h.known.group].back.push_back(&h);
+    else if (mayLeave(h))
+      changes[h.known.group].moved[*h.giveTo].push_back(&h);
+    else if (h.heard && h.address != h.known.record.address) {
+      // Those of a group come up one after the other.
+      if (addressSince_ == Time{}) addressSince_ = now;
+      if (now - addressSince_ >= kAddressesTogether) changes[h.known.group].addresses = true;
+    }
+  }
+  if (changes.empty()) return;
   wire::Transaction t;
+  std::size_t weight = 0;
   t.when[keys::share(taken_.share)] = taken_.stamp;
-  t.when[keys::host(h.id)] = h.known.stamp;
-  if (newToken) {
-    // What we sent under our token must have no effect under the next owner's (invariant 5).
-    record.token = Epoch{dir_.epoch.value + 1};
-    t.when[keys::kEpoch] = dir_.epochStamp;
-    t.apply.push_back({keys::kEpoch, wire::encodeCounter(record.token), {}});
+  // What we sent under our token must have no effect under the next owner's (invariant 5).
+  Epoch token{dir_.epoch.value + 1};
+  for (const auto& [key, c] : changes) {
+    if (t.apply.size() + 2 + c.moved.size() > settings_.txnOps ||
+        weight + 2 * settings_.valueBytes > 48 * 1024)
+      break;
+    auto known = dir_.groups.find(key);
+    auto group = dir_.group(key);
+    if (known == dir_.groups.end() || group.members.empty()) continue;
+    auto stamp = dir_.hosts.at(group.members.front().id).stamp;
+    std::set<HostId> back, gone;
+    for (const Host* h : c.back) back.insert(h->id);
+    for (const auto& [to, hosts] : c.moved) {
+      auto there = group;
+      there.share = ShareNo{static_cast<std::uint32_t>(to)};
+      there.token = token;
+      there.members.clear();
+      for (const Host* h : hosts) {
+        gone.insert(h->id);
+        there.members.push_back({h->id, wire::HostPhase::InUse, h->address});
+      }
+      auto name = keys::group(hosts.front()->id, token);
+      t.when[name] = Stamp{0};
+      t.apply.push_back({name, wire::encodeGroup(there), {}});
+    }
+    std::erase_if(group.members, [&](const auto& m) { return gone.count(m.id) > 0; });
+    for (auto& m : group.members) {
+      if (back.count(m.id) > 0) m.phase = wire::HostPhase::Returning;
+      if (const Host* h = books_.host(m.id); h && !h->address.empty()) m.address = h->address;
+    }
+    t.when[key] = stamp;
+    wire::Write w{key, std::nullopt, {}};
+    if (!group.members.empty()) w.value = wire::encodeGroup(group);
+    weight += wire::weightOf(w);
+    t.apply.push_back(std::move(w));
+    if (!c.moved.empty() && t.when.emplace(keys::kEpoch, dir_.epochStamp).second)
+      t.apply.push_back({keys::kEpoch, wire::encodeCounter(token), {}});
   }
-  t.apply.push_back({keys::host(h.id), wire::encodeHost(record), {}});
-  h.recordBusy = true;
-  store_.txn(Urgency::Work, std::move(t), Duration{2'000}, guarded([this, id = h.id, record](TxnResult r) {
-               Host* h = books_.host(id);
-               if (!h) return;
-               h->recordBusy = false;
-               if (r.ok()) h->known = {record, r.revision};
-               bool lost = std::count(r.failed.begin(), r.failed.end(), keys::share(taken_.share)) > 0;
-               if (lost) out_.abandon();
-             }));
+  if (t.apply.empty()) return;
+  addressSince_ = Time{};
+  recordsBusy_ = true;
+  store_.txn(Urgency::Work, std::move(t), Duration{2'000},
+             guarded([this](TxnResult r) { recordsWritten(r); }));
+}
+
+void Scheduler::recordsWritten(const TxnResult& r) {
+  recordsBusy_ = false;
+  // The directory is to show what was written before it is looked at again.
+  recordsNotBefore_ = io_.now() + Duration{300};
+  if (std::count(r.failed.begin(), r.failed.end(), keys::share(taken_.share)) > 0) out_.abandon();
 }
 
 }  // namespace cherryloft
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -13,19 +13,15 @@
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
 constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
-constexpr double kServiceLoss = 600;  // seconds of work that moving a replica counts as
+constexpr double kOverdueS = 90;      // a job that has not begun by then has a turn before all others
+constexpr Duration kBetweenRounds{30};
+constexpr Duration kBetweenEvictions{250};  // what was stopped must be seen to be gone first
+constexpr double kServiceLoss = 600;        // seconds of work that moving a replica counts as
 
 double fetchS(const Host& h, const JobSpec& job) {
   return h.fetchGbPerS > 0 ? job.imageGb / h.fetchGbPerS : 0;
 }
 
-double replicaCores(const Host& h) {
-  double cores = 0;
-  for (const auto& [_, p] : h.placements)
-    if (p.job->spec->shape == Shape::Service) cores += p.job->spec->each.cores;
-  return cores;
-}
-
 }  // namespace
 
 // Asks for a round. Machines in `at` reported; `everywhere` counts as a report of every machine with room.
@@ -34,13 +30,15 @@
   if (at) drawAt_.insert(*at);
   if (roundSet_) return;
   roundSet_ = true;
-  io_.after(Duration{0}, guarded([this] {
+  // What comes within a moment shares a round: a fleet's reports come faster than rounds are worth it.
+  io_.after(std::max(lastRound_ + kBetweenRounds - io_.now(), Duration{0}), guarded([this] {
               roundSet_ = false;
               round();
             }));
 }
 
 void Scheduler::round() {
+  lastRound_ = io_.now();
   if (!loaded_ || !owns() || gaveUpShare_ || committing_ || flight_) {
     if (!committing_) commit();
     return;
@@ -53,14 +51,11 @@
   auto now = io_.now();
   auto wall = io_.wall();
   std::vector<Ranked> out;
-  std::map<TeamId, std::vector<Job*>> byTeam;
-  for (auto& [_, job] : books_.jobs())
-    if (job.open()) byTeam[job.spec->team].push_back(&job);
-  for (auto& [team, jobs] : byTeam) {
-    std::stable_sort(jobs.begin(), jobs.end(), [](Job* a, Job* b) { return a->submitted < b->submitted; });
+  for (const auto& [team, jobs] : books_.teams()) {
     const Team* t = settings_.team(team);
     Resources sum;
-    for (Job* job : jobs) {
+    for (const auto& [_, job] : jobs) {
+      if (!job->open()) continue;
       sum += job->unfinished();
       if (job->waiting.empty() || now < job->notBefore) continue;
       policy::Candidate c;
@@ -72,6 +67,7 @@
       // Owners' estimates are often wrong by half: half of one must fit.
       auto within = job->spec->dueS ? job->spec->dueS : settings_.finishWithin(job->spec->jobClass);
       c.hopeful = !within || c.ageS + 0.5 * job->spec->expectS <= *within;
+      c.overdue = !job->begun && c.ageS > kOverdueS;
       out.push_back({job, c});
     }
   }
@@ -83,7 +79,7 @@
   std::map<TeamId, unsigned> turns;
   std::vector<Ranked> blocked;
   // The batch is as wide as one transaction; what is left forms the next round.
-  while (!list.empty() && dirty_.size() < settings_.txnOps) {
+  while (!list.empty() && fresh_.size() < roundWidth()) {
     for (auto& r : list) r.c.turns = turns[r.job->spec->team];
     auto best = std::min_element(list.begin(), list.end(),
                                  [](const Ranked& a, const Ranked& b) { return policy::before(a.c, b.c); });
@@ -95,34 +91,37 @@
     auto most = std::min<std::size_t>(kTurn, best->job->waiting.size());
     auto got = placeSome(*best->job, static_cast<unsigned>(most));
     ++turns[best->job->spec->team];
+    best->c.overdue = false;  // it has begun, or there is no room for it
     if (got == most && !best->job->waiting.empty()) continue;
     if (got < most && books_.withinLimit(*best->job)) blocked.push_back(*best);
     list.erase(best);
   }
-  drawEverywhere_ = false;
-  drawAt_.clear();
   bool roomless =
       std::any_of(blocked.begin(), blocked.end(), [&](const Ranked& r) { return !anyRoom(*r.job); });
+  drawEverywhere_ = false;
+  drawAt_.clear();
   if (roomless && keepEmptying()) return wake(true);
-  makeRoom(blocked);
+  if (io_.now() - lastRoomMade_ >= kBetweenEvictions) makeRoom(blocked);
   if (!list.empty()) drawEverywhere_ = true;  // these had no turn yet
 }
 
 unsigned Scheduler::placeSome(Job& job, unsigned most) {
-  std::set<HostId> refused;  // by the draw, in this round
+  if (!books_.withinLimit(job)) return 0;
+  auto turn = look(job);
   unsigned got = 0;
   // The members of a gang find each other by their common attempt.
   bool gang = job.spec->shape == Shape::Gang;
   if (gang) ++attempts_;
   while (got < most && !job.waiting.empty() && books_.withinLimit(job)) {
-    Host* h = choose(job, refused);
+    Host* h = choose(job, turn);
     if (!h) break;
     auto index = job.waiting.front();
     job.waiting.pop_front();
     auto attempt = attemptOf(taken_.epoch, gang ? attempts_ : ++attempts_);
     books_.place(job, index, *h, attempt, io_.now());
-    h->images.touch(job.spec->image, job.spec->imageGb);
-    dirty_.insert({job.id, index / job.chunk});
+    books_.cached(*h, job.spec->image, job.spec->imageGb);
+    h->attention = true;
+    fresh_.push_back({job.id, index});
     log_->debug("{}/{} to {}", job.id.value, index, h->id.value);
     ++got;
   }
@@ -132,13 +131,12 @@
 // A gang is placed whole: machines for all its members in one pass, or none of them. False: it is blocked.
 bool Scheduler::placeGang(Job& job) {
   if (job.placed > 0) return true;  // what is left of an earlier try must go first
-  auto keys = (job.tasks.size() + job.chunk - 1) / job.chunk;
-  if (!dirty_.empty() && dirty_.size() + keys > settings_.txnOps) return true;  // the next round is its own
+  if (!fresh_.empty() && fresh_.size() + job.tasks.size() > roundWidth())
+    return true;  // next round is its own
   auto all = static_cast<unsigned>(job.waiting.size());
   if (placeSome(job, all) == all) return true;
   for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
     if (Host* h = job.tasks[i].host) books_.gone(*h, TaskId{job.id, i}, io_.now());
-  dirty_.erase(dirty_.lower_bound({job.id, 0}), dirty_.upper_bound({job.id, UINT32_MAX}));
   std::sort(job.waiting.begin(), job.waiting.end());
   return false;
 }
@@ -158,26 +156,32 @@
     if (Host* h = books_.host(id)) direct(*h);
 }
 
-bool Scheduler::zoneAllows(const Job& job, const Zone& zone, const std::map<Zone, unsigned>& zones) const {
+bool Scheduler::zoneAllows(const Job& job, const Zone& zone) const {
   const auto& s = *job.spec;
   if (s.zone && *s.zone != zone) return false;
-  if (s.oneZone && !zones.empty() && (zones.size() > 1 || zones.begin()->first != zone)) return false;
-  auto it = zones.find(zone);
-  return !s.spread || it == zones.end() || it->second + 1 <= (s.tasks + 1) / 2;
+  if (s.oneZone && !job.zones.empty() && (job.zones.size() > 1 || job.zones.begin()->first != zone))
+    return false;
+  if (!s.spread) return true;
+  auto it = job.zones.find(zone);
+  return it == job.zones.end() || it->second + 1 <= (s.tasks + 1) / 2;
 }
 
 // Whether some machine could take the job's next task now, whatever the draw says.
 bool Scheduler::anyRoom(const Job& job) const {
-  auto zones = books_.zonesOf(job);
-  return std::any_of(books_.hosts().begin(), books_.hosts().end(), [&](const auto& h) {
-    return allowed(job, h.second, zones) && job.spec->each.fitsIn(h.second.free());
-  });
+  for (const auto& p : books_.pools()) {
+    if ((p.spot && !job.spec->lendable) || !job.spec->allowsType(p.type) || !zoneAllows(job, p.zone))
+      continue;
+    auto at = p.byRoom.lower_bound({job.spec->each.cores - 1e-6, 0});
+    for (unsigned looked = 0; at != p.byRoom.end() && looked < settings_.tuning.sample; ++at, ++looked)
+      if (job.spec->each.fitsIn(at->second->free()) && allowed(job, *at->second)) return true;
+  }
+  return false;
 }
 
 // The start on a machine without the image would miss the class's aim by the fetch alone.
 bool Scheduler::tooSlow(const Job& job, const Host& h) const {
   auto within = settings_.startWithin(job.spec->jobClass);
-  return within && !h.images.has(job.spec->image) && fetchS(h, *job.spec) > *within;
+  return within && job.holders->count(h.no) == 0 && fetchS(h, *job.spec) > *within;
 }
 
 // Tasks that the job may stop on the machine, and what they are.
@@ -205,110 +209,203 @@
   return {std::move(offered), std::move(tasks)};
 }
 
-bool Scheduler::holderCouldMakeRoom(const Job& job, const std::map<Zone, unsigned>& zones) const {
-  return std::any_of(books_.hosts().begin(), books_.hosts().end(), [&](const auto& x) {
-    const Host& h = x.second;
-    if (!h.images.has(job.spec->image) || !allowed(job, h, zones)) return false;
-    auto e = policy::evict(h.free() + h.leavingRoom(), job.spec->each, victims(job, false, h).first);
-    return e && e->lost <= kSlowStart;
-  });
+bool Scheduler::holderCouldMakeRoom(const Job& job) const {
+  if (!books_.mayPreempt(job.spec->rank, false)) return false;
+  unsigned looked = 0;
+  for (const auto& [_, h] : *job.holders) {
+    if (!allowed(job, *h)) continue;
+    if (++looked > settings_.tuning.sample) return false;
+    auto e = policy::evict(h->free() + h->leavingRoom(), job.spec->each, victims(job, false, *h).first);
+    if (e && e->lost <= kSlowStart) return true;
+  }
+  return false;
 }
 
 // Room is short: machines that were to empty themselves take work again. True if there were any.
 bool Scheduler::keepEmptying() {
   bool any = false;
-  for (auto& [_, h] : books_.hosts()) any |= !h.leaving && std::exchange(h.emptying, false);
+  for (auto& [_, h] : books_.hosts()) {
+    if (h.leaving || !std::exchange(h.emptying, false)) continue;
+    books_.reindex(h);
+    any = true;
+  }
   return any;
 }
 
 // Everything but room and the draw: type, kind, zone, and the zones of the job's other tasks.
-bool Scheduler::allowed(const Job& job, const Host& h, const std::map<Zone, unsigned>& zones) const {
+bool Scheduler::allowed(const Job& job, const Host& h) const {
+  return h.open() && zoneAllows(job, h.zone()) && allowedKind(job, h);
+}
+
+bool Scheduler::allowedKind(const Job& job, const Host& h) const {
   const auto& s = *job.spec;
-  if (!usable(h) || !s.allowsType(h.known.record.type) || (h.spot() && !s.lendable)) return false;
-  if (!zoneAllows(job, h.zone(), zones)) return false;
+  if (!s.allowsType(h.known.record.type) || (h.spot() && !s.lendable)) return false;
   return job.failedOn.count(h.id) == 0 || job.failedOn.size() >= books_.hosts().size();
 }
 
-Host* Scheduler::choose(Job& job, std::set<HostId>& refused) {
+// Which of two machines with room a task should rather go to, the image aside.
+bool Scheduler::better(const Job& job, const Host& a, const Host& b) const {
+  if (a.spot() != b.spot()) return a.spot();  // cheap machines first for those who may use them
+  if (job.spec->shape == Shape::Service) {
+    auto in = [&](const Host& h) {
+      auto it = job.zones.find(h.zone());
+      return it == job.zones.end() ? 0u : it->second;
+    };
+    if (in(a) != in(b)) return in(a) < in(b);
+    // Together on few machines, small ones first, so that the others can go when the rest is done.
+    if (std::abs(a.replicaCores - b.replicaCores) > 1e-9) return a.replicaCores > b.replicaCores;
+    if (std::abs(a.size.cores - b.size.cores) > 1e-9) return a.size.cores < b.size.cores;
+    return a.no < b.no;
+  }
+  if (std::abs(a.free().cores - b.free().cores) > 1e-9) return a.free().cores < b.free().cores;
+  return a.no < b.no;
+}
+
+// A turn's look at the machines that cache the image. They stay in order while the turn fills them: the
+// fullest that still fits comes first.
+Scheduler::Turn Scheduler::look(const Job& job) const {
+  Turn turn;
+  for (const auto& [_, h] : *job.holders)
+    if (job.spec->each.fitsIn(h->free()) && allowed(job, *h)) turn.holders.push_back(h);
+  std::sort(turn.holders.begin(), turn.holders.end(),
+            [&](const Host* a, const Host* b) { return better(job, *a, *b); });
+  return turn;
+}
+
+Host* Scheduler::holder(const Job& job, Turn& turn) const {
+  auto fits = [&](const Host* h) { return job.spec->each.fitsIn(h->free()) && allowed(job, *h); };
+  if (job.spec->shape == Shape::Service) {
+    Host* best = nullptr;
+    for (Host* h : turn.holders)
+      if (fits(h) && (!best || better(job, *h, *best))) best = h;
+    return best;
+  }
+  auto it = std::find_if(turn.holders.begin(), turn.holders.end(), fits);
+  turn.holders.erase(turn.holders.begin(), it);
+  return turn.holders.empty() ? nullptr : turn.holders.front();
+}
+
+// Up to K machines with room that do not cache the image, in the order in which they should be tried.
+std::vector<Host*> Scheduler::others(const Job& job, const Turn& turn) {
   const auto& spec = *job.spec;
-  auto zones = books_.zonesOf(job);
-  std::vector<Host*> owned, holders, others;
-  for (auto& [_, h] : books_.hosts()) {
-    if (!usable(h)) continue;  // a machine out of sight must not keep p low
-    owned.push_back(&h);
-    if (!allowed(job, h, zones) || !spec.each.fitsIn(h.free())) continue;
-    (h.images.has(spec.image) ? holders : others).push_back(&h);
+  // Where a start is to come soon, the time of the fetch decides (DESIGN.md, exceptions).
+  bool aimed = settings_.startWithin(spec.jobClass).has_value();
+  auto sortOthers = [&](std::vector<Host*>& list) {
+    std::stable_sort(list.begin(), list.end(), [&](const Host* a, const Host* b) {
+      auto fa = aimed ? fetchS(*a, spec) : 0, fb = aimed ? fetchS(*b, spec) : 0;
+      return fa != fb ? fa < fb : better(job, *a, *b);
+    });
+  };
+  auto takes = [&](const Host& h) {
+    return spec.each.fitsIn(h.free()) && job.holders->count(h.no) == 0 && turn.refused.count(h.no) == 0 &&
+           allowed(job, h);
+  };
+  std::vector<Host*> out;
+  if (!drawEverywhere_) {
+    for (const auto& id : drawAt_)
+      if (auto it = books_.hosts().find(id); it != books_.hosts().end() && takes(it->second))
+        out.push_back(&it->second);
+    sortOthers(out);
+    return out;
   }
-  auto better = [&](const Host* a, const Host* b) {
-    if (a->spot() != b->spot()) return a->spot();  // cheap machines first for those who may use them
-    if (spec.shape == Shape::Service) {
-      auto za = zones.count(a->zone()) ? zones.at(a->zone()) : 0,
-           zb = zones.count(b->zone()) ? zones.at(b->zone()) : 0;
-      if (za != zb) return za < zb;
-      // Together on few machines, small ones first, so that the others can go when the rest is done.
-      auto ra = replicaCores(*a), rb = replicaCores(*b);
-      if (std::abs(ra - rb) > 1e-9) return ra > rb;
-      if (std::abs(a->size.cores - b->size.cores) > 1e-9) return a->size.cores < b->size.cores;
-      return a->id < b->id;
-    }
-    if (std::abs(a->free().cores - b->free().cores) > 1e-9) return a->free().cores < b->free().cores;
-    return a->id < b->id;
+  struct Walk {
+    const Pool* pool;
+    decltype(Pool::byRoom)::const_iterator at;
   };
-  if (!holders.empty()) return *std::min_element(holders.begin(), holders.end(), better);
-  if (others.empty()) return nullptr;
-  // Where a start is to come soon, the time of the fetch decides; if even the shortest is too long, room is
-  // made on a machine that has the image (DESIGN.md, exceptions).
-  if (settings_.startWithin(spec.jobClass)) {
-    std::stable_sort(others.begin(), others.end(), [&](const Host* a, const Host* b) {
-      auto fa = fetchS(*a, spec), fb = fetchS(*b, spec);
-      return fa != fb ? fa < fb : better(a, b);
-    });
-    bool waits = io_.now() >= job.anyStartUntil;
-    if (waits && tooSlow(job, *others.front()) && holderCouldMakeRoom(job, zones)) return nullptr;
-  } else {
-    std::sort(others.begin(), others.end(), better);
+  std::vector<Walk> walks;
+  for (const auto& p : books_.pools()) {
+    if ((p.spot && !spec.lendable) || !spec.allowsType(p.type) || !zoneAllows(job, p.zone)) continue;
+    auto at = p.byRoom.lower_bound({spec.each.cores - 1e-6, 0});
+    if (at != p.byRoom.end()) walks.push_back({&p, at});
+  }
+  auto key = [&](const Walk& w) {
+    double fetch = aimed && w.pool->fetchGbPerS > 0 ? spec.imageGb / w.pool->fetchGbPerS : 0;
+    return std::tuple(fetch, !w.pool->spot, w.at->first);
+  };
+  // As many again may be looked at in vain: holders that are full for their memory, or refused before.
+  for (unsigned looked = 0;
+       !walks.empty() && out.size() < settings_.tuning.sample && looked < 4 * settings_.tuning.sample;
+       ++looked) {
+    auto w = std::min_element(walks.begin(), walks.end(),
+                              [&](const Walk& a, const Walk& b) { return key(a) < key(b); });
+    Host* h = w->at->second;
+    if (takes(*h)) out.push_back(h);
+    if (++w->at == w->pool->byRoom.end()) walks.erase(w);
   }
+  sortOthers(out);
+  return out;
+}
+
+policy::Peek Scheduler::peek(const Job& job) {
+  const auto& owned = books_.openHosts();
   auto picked = policy::sample(owned.size(), settings_.tuning.sample, rng_);
   policy::Peek peek;
   double withRoom = 0, holding = 0;
   for (auto i : picked) {
-    if (!spec.each.fitsIn(owned[i]->free())) continue;
+    if (!job.spec->each.fitsIn(owned[i]->free())) continue;
     ++withRoom;
-    holding += owned[i]->images.has(spec.image);
+    holding += job.holders->count(owned[i]->no) > 0;
   }
   if (!picked.empty()) {
     peek.holders = holding / static_cast<double>(picked.size());
     peek.withRoom = withRoom / static_cast<double>(picked.size()) * static_cast<double>(owned.size());
   }
+  return peek;
+}
+
+Host* Scheduler::choose(Job& job, Turn& turn) {
+  if (Host* h = holder(job, turn)) return h;
+  auto list = others(job, turn);
+  if (list.empty()) return nullptr;
+  // If even the shortest fetch is too long, room is made on a machine that has the image.
+  bool waits = io_.now() >= job.anyStartUntil;
+  if (waits && tooSlow(job, *list.front()) && holderCouldMakeRoom(job)) return nullptr;
+  if (!turn.peek) turn.peek = peek(job);
+  if (!turn.holdingZones) {
+    turn.holdingZones.emplace();
+    for (const auto& [_, h] : *job.holders)
+      if (h->open()) turn.holdingZones->insert(h->zone());
+  }
   std::uniform_real_distribution<double> uniform(0.0, 1.0);
-  for (Host* h : others) {
-    if (refused.count(h->id) > 0 || !(drawEverywhere_ || drawAt_.count(h->id) > 0)) continue;
-    bool zoneHolds = std::any_of(owned.begin(), owned.end(), [&](const Host* o) {
-      return o->zone() == h->zone() && o->images.has(spec.image);
-    });
-    bool runs = std::any_of(h->placements.begin(), h->placements.end(),
-                            [&](const auto& p) { return p.second.job == &job; });
-    double p = policy::couplingProbability(policy::alphaOf(zoneHolds, runs), peek,
-                                           static_cast<double>(job.waiting.size()));
-    if (uniform(rng_) < p) return h;
-    refused.insert(h->id);
+  for (Host* h : list) {
+    auto first = h->placements.lower_bound({job.id, 0});
+    bool runs = first != h->placements.end() && first->first.job == job.id;
+    double p = policy::couplingProbability(policy::alphaOf(turn.holdingZones->count(h->zone()) > 0, runs),
+                                           *turn.peek, static_cast<double>(job.waiting.size()));
+    if (uniform(rng_) < p) {
+      // From now on it counts as a holder: the rest of the turn may fill it.
+      turn.holders.push_back(h);
+      return h;
+    }
+    turn.refused.insert(h->no);
   }
   return nullptr;
 }
 
-// Stops what may be stopped for those who found no room, in their order, least lost work first.
+// Stops what may be stopped for those who found no room, in their order, least lost work first. Of many
+// machines K are peeked at, holders of the image first.
 void Scheduler::makeRoom(const std::vector<Ranked>& blocked) {
-  std::map<HostId, Resources> room;  // free now or soon, less what is spoken for
-  for (auto& [id, h] : books_.hosts())
-    if (usable(h)) room[id] = h.free() + h.leavingRoom();
+  std::map<std::uint32_t, Resources> room;  // free now or soon, less what is spoken for
+  auto roomOf = [&](const Host& h) -> Resources& {
+    auto [it, fresh] = room.try_emplace(h.no);
+    if (fresh) it->second = h.free() + h.leavingRoom();
+    return it->second;
+  };
   std::set<HostId> changed;
   unsigned asked = 0;
   for (const auto& r : blocked) {
     Job& job = *r.job;
     const auto& spec = *job.spec;
-    auto zones = books_.zonesOf(job);
-    const Team* mine = settings_.team(spec.team);
-    double headroom = mine ? mine->coresMax - books_.teamUse(spec.team).cores : 0;
+    if (asked >= kMostEvictionsAsked) break;
+    if (!books_.mayPreempt(spec.rank, r.c.guaranteed)) continue;
+    lastRoomMade_ = io_.now();
+    double headroom = job.team ? job.team->coresMax - books_.teamUse(spec.team).cores : 0;
+    std::vector<Host*> peeked;
+    for (const auto& [_, h] : *job.holders)
+      if (peeked.size() < settings_.tuning.sample && allowed(job, *h)) peeked.push_back(h);
+    const auto& owned = books_.openHosts();
+    for (auto i : policy::sample(owned.size(), settings_.tuning.sample, rng_))
+      if (job.holders->count(owned[i]->no) == 0 && allowed(job, *owned[i])) peeked.push_back(owned[i]);
     for (std::size_t n = 0; n < job.waiting.size() && asked < kMostEvictionsAsked; ++n) {
       headroom -= spec.each.cores;
       if (headroom < -1e-6) break;
@@ -316,14 +413,13 @@
       Host* best = nullptr;
       std::optional<policy::Eviction> cheapest;
       std::vector<TaskId> bestTasks;
-      for (auto& [id, h] : books_.hosts()) {
-        if (!allowed(job, h, zones)) continue;
-        auto [offered, tasks] = victims(job, r.c.guaranteed, h);
-        auto e = policy::evict(room[id], spec.each, offered);
-        if (e && tooSlow(job, h)) e->lost += kSlowStart;
+      for (Host* h : peeked) {
+        auto [offered, tasks] = victims(job, r.c.guaranteed, *h);
+        auto e = policy::evict(roomOf(*h), spec.each, offered);
+        if (e && tooSlow(job, *h)) e->lost += kSlowStart;
         if (e && (!cheapest || e->lost < cheapest->lost)) {
           cheapest = e;
-          best = &h;
+          best = h;
           bestTasks = tasks;
         }
       }
@@ -333,11 +429,11 @@
       for (auto i : cheapest->victims) {
         auto& p = best->placements.at(bestTasks[i]);
         log_->debug("{} gives way on {} to {}", wire::encodeTask(bestTasks[i]), best->id.value, job.id.value);
-        room[best->id] += p.job->spec->each;
+        roomOf(*best) += p.job->spec->each;
         stop(*best, bestTasks[i], p);
         changed.insert(best->id);
       }
-      room[best->id] -= spec.each;
+      roomOf(*best) -= spec.each;
     }
   }
   for (const auto& id : changed) direct(*books_.host(id));
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -44,7 +44,17 @@
   }
 };
 
-// The reply to either ask.
+// Asks a sibling to ask a machine for its report, as we can't reach it.
+struct ProbeAsk {
+  std::uint64_t id = 0;
+  std::string address;
+  template <class A>
+  void serialize(A& a) {
+    a(id, address);
+  }
+};
+
+// The reply to any ask.
 struct Answer {
   std::uint64_t id = 0;
   std::int32_t status = 0;
@@ -104,6 +114,7 @@
   std::uint64_t epoch = 0;
   Demand firm;      // work that may use ordinary machines only
   Demand lendable;  // work that may use spot machines too
+  // Machines that are idle, don't take work, or could best be emptied. All others are in plain use.
   std::vector<HostLoad> hosts;
   template <class A>
   void serialize(A& a) {
@@ -129,7 +140,7 @@
   }
 };
 
-using Payload = std::variant<Pulse, JobAsk, CheckInAsk, Answer, HostSeen, ShareLoad, HostWish>;
+using Payload = std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish>;
 
 struct Frame {
   std::uint32_t from = 0;
--- a/src/policy/coupling.cpp
+++ b/src/policy/coupling.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <set>
 
 namespace cherryloft::policy {
 
@@ -14,12 +15,20 @@
   return std::clamp(p, 0.0, 1.0);
 }
 
+// Floyd's way: as many steps as there are picked, however large the fleet.
 std::vector<std::size_t> sample(std::size_t n, std::size_t k, std::mt19937_64& rng) {
-  std::vector<std::size_t> all(n), out;
-  std::iota(all.begin(), all.end(), std::size_t{0});
-  if (n <= k) return all;
-  out.reserve(k);
-  std::sample(all.begin(), all.end(), std::back_inserter(out), k, rng);
+  std::vector<std::size_t> out;
+  if (n <= k) {
+    out.resize(n);
+    std::iota(out.begin(), out.end(), std::size_t{0});
+    return out;
+  }
+  std::set<std::size_t> picked;
+  for (std::size_t j = n - k; j < n; ++j) {
+    auto i = std::uniform_int_distribution<std::size_t>(0, j)(rng);
+    if (!picked.insert(i).second) picked.insert(j);
+  }
+  out.assign(picked.begin(), picked.end());
   return out;
 }
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -7,7 +7,8 @@
 namespace cherryloft::policy {
 namespace {
 
-constexpr double kEnough = 0.5;   // cores
+constexpr double kEnough = 0.5;     // cores
+constexpr double kMostAtOnce = 50;  // machines that one request may ask for
 constexpr double kSurplus = 0.1;  // share of the total that must be left over before a machine empties itself
 
 struct Capacity {
@@ -53,7 +54,7 @@
       if (!better) continue;
       // Part of it only, so that the zones fill evenly.
       auto part = missing / usable / static_cast<double>(t.zones.size());
-      auto count = static_cast<unsigned>(std::clamp(std::floor(part), 1.0, 4.0));
+      auto count = static_cast<unsigned>(std::clamp(std::floor(part), 1.0, kMostAtOnce));
       best = Wish{o, count, usable * count};
       bestCost = cost;
       bestZone = inZone[z];
--- a/src/policy/order.cpp
+++ b/src/policy/order.cpp
@@ -5,6 +5,7 @@
 namespace cherryloft::policy {
 
 bool before(const Candidate& a, const Candidate& b) {
+  if (a.overdue != b.overdue) return a.overdue;
   if (a.rank != b.rank) return a.rank > b.rank;
   if (a.guaranteed != b.guaranteed) return a.guaranteed;
   if (a.hopeful != b.hopeful) return a.hopeful;
--- a/src/policy/order.h
+++ b/src/policy/order.h
@@ -8,6 +8,7 @@
 namespace cherryloft::policy {
 
 struct Candidate {
+  bool overdue = false;  // has waited so long for its first start that it goes before all others once
   Rank rank = Rank::Normal;
   bool guaranteed = false;       // fits its team's guarantee along with the team's earlier jobs
   bool hopeful = true;           // may still meet its deadline or the tightest aim of its class
@@ -17,8 +18,8 @@
   double ageS = 0;
 };
 
-// True if a comes before b: rank, guarantee before borrowed, what may still be in time, teams in turn,
-// deadline slack, little work before much, age.
+// True if a comes before b: overdue, rank, guarantee before borrowed, what may still be in time, teams in
+// turn, deadline slack, little work before much, age.
 bool before(const Candidate& a, const Candidate& b);
 
 }  // namespace cherryloft::policy
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -1,5 +1,7 @@
 #include "wire/store.h"
 
+#include <algorithm>
+
 #include "wire/json.h"
 
 namespace cherryloft::wire {
@@ -100,7 +102,6 @@
   Json j{{"st", static_cast<int>(r.status)}, {"sh", r.share.value}, {"n", r.tasks}};
   if (r.spec) {
     const auto& s = *r.spec;
-    j["ch"] = r.chunk;
     j["at"] = r.submitted.value;
     Json spec{{"class", s.jobClass},
               {"team", s.team.value},
@@ -133,15 +134,12 @@
   JobRecord r{static_cast<JobStatus>(*status),
               ShareNo{static_cast<std::uint32_t>(*share)},
               static_cast<std::uint32_t>(*tasks),
-              0,
               {},
               {}};
   // An aborted job keeps its description: what it takes counts until its last task is known gone.
   if (r.status != JobStatus::Open && !doc->contains("spec")) return r;
-  auto chunk = countAt(*doc, "ch");
   auto at = countAt(*doc, "at");
-  if (!chunk || *chunk == 0 || !at || !doc->contains("spec")) return std::nullopt;
-  r.chunk = static_cast<std::uint32_t>(*chunk);
+  if (!at || !doc->contains("spec")) return std::nullopt;
   r.submitted = WallTime{static_cast<std::int64_t>(*at)};
   const Json& j = doc->at("spec");
   const Json& each = listAt(j, "each");
@@ -177,66 +175,113 @@
   return r;
 }
 
-std::string encodeRun(const RunRecord& r) {
-  Json done = Json::array();
-  for (std::size_t i = 0; i < r.done.size();) {
-    std::size_t last = i;
-    while (last + 1 < r.done.size() && r.done[last + 1] == r.done[last] + 1) ++last;
-    done.push_back({r.done[i], r.done[last]});
-    i = last + 1;
-  }
-  Json placed = Json::array();
-  for (const auto& p : r.placed) placed.push_back({p.index, p.attempt.value, p.host.value});
-  return dump(Json{{"d", std::move(done)}, {"p", std::move(placed)}});
-}
+namespace {
+
+// The layout of pages and groups. Layout 1 had a key for each part of a job and for each machine.
+constexpr std::uint64_t kLayout = 2;
 
-std::optional<RunRecord> parseRun(const std::string& value) {
+std::optional<Json> parseLayout(const std::string& value) {
   auto doc = parse(value);
-  if (!doc) return std::nullopt;
-  RunRecord r;
-  for (const auto& range : listAt(*doc, "d")) {
+  if (!doc || countAt(*doc, "v") != kLayout) return std::nullopt;
+  return doc;
+}
+
+std::size_t digits(std::uint64_t n) { return std::to_string(n).size(); }
+
+bool parseFacts(const Json& j, RunFacts& f) {
+  for (const auto& range : listAt(j, "d")) {
     if (!range.is_array() || range.size() != 2 || !range[0].is_number_unsigned() ||
         !range[1].is_number_unsigned())
-      return std::nullopt;
+      return false;
     auto last = range[1].get<std::uint32_t>();
-    for (auto i = range[0].get<std::uint32_t>(); i <= last; ++i) r.done.push_back(i);
+    for (auto i = range[0].get<std::uint32_t>(); i <= last; ++i) f.done.push_back(i);
   }
-  for (const auto& p : listAt(*doc, "p")) {
+  for (const auto& p : listAt(j, "p")) {
     if (!p.is_array() || p.size() != 3 || !p[0].is_number_unsigned() || !p[1].is_number_unsigned() ||
         !p[2].is_string())
-      return std::nullopt;
-    r.placed.push_back(
+      return false;
+    f.placed.push_back(
         {p[0].get<std::uint32_t>(), Attempt{p[1].get<std::uint64_t>()}, HostId{p[2].get<std::string>()}});
   }
+  return true;
+}
+
+}  // namespace
+
+std::size_t weightOfJob(const JobId& job) { return job.value.size() + 20; }
+std::size_t weightOfDone(std::uint32_t index) { return 2 * digits(index) + 4; }
+std::size_t weightOf(const RunEntry& e) {
+  return digits(e.index) + digits(e.attempt.value) + e.host.value.size() + 7;
+}
+
+std::string encodePage(const PageRecord& r) {
+  Json jobs = Json::object();
+  for (const auto& [id, f] : r.jobs) {
+    Json done = Json::array();
+    for (std::size_t i = 0; i < f.done.size();) {
+      std::size_t last = i;
+      while (last + 1 < f.done.size() && f.done[last + 1] == f.done[last] + 1) ++last;
+      done.push_back({f.done[i], f.done[last]});
+      i = last + 1;
+    }
+    Json placed = Json::array();
+    for (const auto& p : f.placed) placed.push_back({p.index, p.attempt.value, p.host.value});
+    Json j = Json::object();
+    if (!done.empty()) j["d"] = std::move(done);
+    if (!placed.empty()) j["p"] = std::move(placed);
+    jobs[id.value] = std::move(j);
+  }
+  return dump(Json{{"v", kLayout}, {"j", std::move(jobs)}});
+}
+
+std::optional<PageRecord> parsePage(const std::string& value) {
+  auto doc = parseLayout(value);
+  if (!doc || !doc->contains("j") || !doc->at("j").is_object()) return std::nullopt;
+  PageRecord r;
+  for (const auto& [id, j] : doc->at("j").items())
+    if (!parseFacts(j, r.jobs[JobId{id}])) return std::nullopt;
   return r;
 }
 
-std::string encodeHost(const HostRecord& r) {
-  return dump(Json{{"sh", r.share.value},
+std::string encodeGroup(const GroupRecord& r) {
+  Json members = Json::array();
+  for (const auto& m : r.members) members.push_back({m.id.value, static_cast<int>(m.phase), m.address});
+  return dump(Json{{"v", kLayout},
+                   {"sh", r.share.value},
                    {"tk", r.token.value},
-                   {"ph", static_cast<int>(r.phase)},
                    {"ty", r.type},
                    {"zo", r.zone.value},
                    {"sp", r.spot},
-                   {"ad", r.address},
-                   {"at", r.since.value}});
+                   {"at", r.since.value},
+                   {"m", std::move(members)}});
 }
 
-std::optional<HostRecord> parseHost(const std::string& value) {
-  auto doc = parse(value);
+std::optional<GroupRecord> parseGroup(const std::string& value) {
+  auto doc = parseLayout(value);
   if (!doc) return std::nullopt;
   auto share = countAt(*doc, "sh");
   auto token = countAt(*doc, "tk");
-  auto phase = countAt(*doc, "ph");
-  if (!share || !token || !phase || *phase > 2) return std::nullopt;
-  return HostRecord{ShareNo{static_cast<std::uint32_t>(*share)},
-                    Epoch{*token},
-                    static_cast<HostPhase>(*phase),
-                    textAt(*doc, "ty").value_or(""),
-                    Zone{textAt(*doc, "zo").value_or("")},
-                    flagAt(*doc, "sp").value_or(false),
-                    textAt(*doc, "ad").value_or(""),
-                    WallTime{static_cast<std::int64_t>(countAt(*doc, "at").value_or(0))}};
+  if (!share || !token) return std::nullopt;
+  GroupRecord r{ShareNo{static_cast<std::uint32_t>(*share)},
+                Epoch{*token},
+                textAt(*doc, "ty").value_or(""),
+                Zone{textAt(*doc, "zo").value_or("")},
+                flagAt(*doc, "sp").value_or(false),
+                WallTime{static_cast<std::int64_t>(countAt(*doc, "at").value_or(0))},
+                {}};
+  for (const auto& m : listAt(*doc, "m")) {
+    if (!m.is_array() || m.size() != 3 || !m[0].is_string() || !m[1].is_number_unsigned() ||
+        m[1].get<std::uint64_t>() > 2 || !m[2].is_string())
+      return std::nullopt;
+    r.members.push_back(
+        {HostId{m[0].get<std::string>()}, static_cast<HostPhase>(m[1].get<int>()), m[2].get<std::string>()});
+  }
+  return r;
+}
+
+std::size_t membersIn(std::size_t valueBytes) {
+  constexpr std::size_t frame = 200, member = 48;
+  return std::max<std::size_t>(1, (valueBytes - std::min(valueBytes, frame)) / member);
 }
 
 std::string encodeOwnerRecord(const OwnerRecord& r) {
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -47,7 +47,6 @@
   JobStatus status = JobStatus::Open;
   ShareNo share;
   std::uint32_t tasks = 0;
-  std::uint32_t chunk = 0;  // tasks per run/ key
   WallTime submitted;
   std::optional<JobSpec> spec;  // kept unless done
 };
@@ -59,12 +58,23 @@
   Attempt attempt;
   HostId host;
 };
-struct RunRecord {
+// What a page says of one job.
+struct RunFacts {
   std::vector<std::uint32_t> done;  // ascending
   std::vector<RunEntry> placed;
 };
-std::string encodeRun(const RunRecord& r);
-std::optional<RunRecord> parseRun(const std::string& value);
+// Facts of many jobs in one value, so that a start costs far less than a change (DESIGN.md, section 3).
+struct PageRecord {
+  std::map<JobId, RunFacts> jobs;
+};
+std::string encodePage(const PageRecord& r);
+// Nothing for what can't be read and for another layout, which is told by its version.
+std::optional<PageRecord> parsePage(const std::string& value);
+// Upper bounds of what they add to an encoded page.
+std::size_t weightOfJob(const JobId& job);
+std::size_t weightOfDone(std::uint32_t index);
+std::size_t weightOf(const RunEntry& e);
+inline constexpr std::size_t kPageFrame = 24;  // of a page without jobs
 
 enum class HostPhase : std::uint8_t { InUse, Draining, Returning };
 struct HostRecord {
@@ -77,8 +87,26 @@
   std::string address;  // empty until known
   WallTime since;
 };
-std::string encodeHost(const HostRecord& r);
-std::optional<HostRecord> parseHost(const std::string& value);
+
+// Machines that came together and are of one kind share a key, as a fleet has thousands.
+struct GroupMember {
+  HostId id;
+  HostPhase phase = HostPhase::InUse;
+  std::string address;  // empty until known
+};
+struct GroupRecord {
+  ShareNo share;
+  Epoch token;
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  WallTime since;
+  std::vector<GroupMember> members;
+};
+std::string encodeGroup(const GroupRecord& r);
+std::optional<GroupRecord> parseGroup(const std::string& value);
+// How many machines fit a group whose names and addresses are that long.
+std::size_t membersIn(std::size_t valueBytes);
 
 struct OwnerRecord {
   NodeId owner;
--- a/src/wire/workers.h
+++ b/src/wire/workers.h
@@ -18,6 +18,7 @@
   Attempt attempt;
   TaskPhase phase = TaskPhase::Fetching;
   ExitCause cause = ExitCause::Unknown;
+  friend bool operator==(const ReportedTask&, const ReportedTask&) = default;
 };
 
 struct Report {
