--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -7,7 +7,8 @@
 
 namespace cherryloft {
 namespace {
-constexpr Duration kCreate{2'000};
+constexpr Duration kCreate{2'500};
+constexpr int kMostRetryAfterS = 20;
 constexpr Duration kStrongRead{1'000};  // users wait 2 s for a poll
 constexpr Duration kAskOwner{600};
 constexpr Duration kWithdraw{2'500};
@@ -49,6 +50,8 @@
   if (dir_.catalog.empty()) return done(wire::userUnavailable("the machine types are not known yet"));
   if (auto why = policy::neverRuns(spec, settings_, dir_.catalog))
     return refuse(spec.id, 422, *why, std::move(done));
+  if (auto wait = store_.creationsBackedUp())
+    return done(wire::userError(503, "more jobs come than can be kept", std::min(*wait, kMostRetryAfterS)));
   accept(std::move(spec), std::move(done));
 }
 
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -4,6 +4,7 @@
 
 namespace cherryloft {
 namespace {
+constexpr Duration kAccount{60'000};
 constexpr Duration kShow{2'000};
 constexpr Duration kRelay{2'500};        // workers wait 4 s
 constexpr Duration kRelayFirst{8'000};   // a worker that comes here may have found its owner out of reach
@@ -42,6 +43,18 @@
   membership_.start();
   peers_.start();
   fleet_.start();
+  account();
+}
+
+// What the controller did in the last minute, for operators (OPERATING.md).
+void Node::account() {
+  io_.after(kAccount, [this] { account(); });
+  auto t = store_.takeTally();
+  std::string line;
+  for (const auto& [what, n] : t.requests) line += " " + what + "=" + std::to_string(n);
+  line += "; changes";
+  for (const auto& [what, n] : t.changes) line += " " + what + "=" + std::to_string(n);
+  log_->info("last minute: store requests{}; refused {}, out of time {}", line, t.refused, t.outOfTime);
 }
 
 Scheduler* Node::scheduler(ShareNo k) {
@@ -60,7 +73,21 @@
       for (auto& [_, s] : schedulers_) s->hostChanged(id);
   } else if (store_.mirrored()) {
     membership_.changed();
+    store_.part(partOfLimits());
+  }
+}
+
+// Most of what is asked of the store is asked for a share, by its owner; the rest by every living controller.
+double Node::partOfLimits() const {
+  constexpr double kEach = 0.5;
+  double mine = 0, all = 0;
+  for (const auto& n : settings_.nodes) {
+    double weight = dir_.alive(n) || n == settings_.node ? kEach : 0;
+    for (const auto& [_, o] : dir_.shares) weight += o.record.owner == n;
+    all += weight;
+    if (n == settings_.node) mine = weight;
   }
+  return mine / all;
 }
 
 void Node::taken(const Taken& t) {
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -21,6 +21,8 @@
   static bool fromWorker(const HttpRequest& r) { return r.target == "/checkin"; }
 
  private:
+  void account();
+  double partOfLimits() const;
   void changed(const wire::KeyChange& c);
   void received(std::uint32_t from, const mesh::Payload& p);
   void taken(const Taken& t);
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -144,6 +144,7 @@
   policy::Peek peek(const Job& job);
   void makeRoom(const std::vector<Ranked>& blocked);
   void commit();
+  void commitAt(Time due);
   void committed(const TxnResult& r);
   void addTerminal(wire::Transaction& t, std::size_t& weight);
   void addPages(wire::Transaction& t, std::size_t& weight);
@@ -181,7 +182,9 @@
   std::deque<TaskId> fresh_;  // tasks whose placement or completion is to be written
   std::set<JobId> ending_;    // jobs to write as done or aborted
   bool committing_ = false;
-  Time commitNotBefore_{};
+  Time commitNotBefore_{}, lastCommit_{};
+  bool commitSet_ = false;
+  bool startsFresh_ = false;  // some of fresh_ are placements
   struct InFlight {
     wire::Transaction txn;
     std::vector<PageNo> pages;
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -66,6 +66,13 @@
 void Scheduler::commit() {
   if (committing_ || !owns() || io_.now() < commitNotBefore_) return;
   if (!flight_) {
+    // While changes are short, what comes within a moment shares a transaction; completions can wait longer.
+    auto now = io_.now();
+    bool urgent = startsFresh_ || !ending_.empty();
+    auto due = lastCommit_ + (urgent ? 1 : 3) * store_.workEvery();
+    if (store_.crowded() && now < due && !(fresh_.empty() && ending_.empty())) return commitAt(due);
+    lastCommit_ = now;
+    startsFresh_ = false;
     flight_.emplace();
     auto& t = flight_->txn;
     t.when[keys::share(taken_.share)] = taken_.stamp;
@@ -101,6 +108,15 @@
   store_.txn(Urgency::Work, flight_->txn, Duration{2'000}, guarded([this](TxnResult r) { committed(r); }));
 }
 
+void Scheduler::commitAt(Time due) {
+  if (commitSet_) return;
+  commitSet_ = true;
+  io_.after(due - io_.now(), guarded([this] {
+              commitSet_ = false;
+              commit();
+            }));
+}
+
 void Scheduler::committed(const TxnResult& r) {
   committing_ = false;
   using O = TxnResult::Outcome;
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -122,6 +122,7 @@
     books_.cached(*h, job.spec->image, job.spec->imageGb);
     h->attention = true;
     fresh_.push_back({job.id, index});
+    startsFresh_ = true;
     log_->debug("{}/{} to {}", job.id.value, index, h->id.value);
     ++got;
   }
--- a/src/actors/store.cpp
+++ b/src/actors/store.cpp
@@ -1,6 +1,7 @@
 #include "actors/store.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace cherryloft {
@@ -8,6 +9,10 @@
 
 // Of this controller's part of the limits, what it lets itself use; the rest absorbs clock differences.
 constexpr double kOfBudget = 0.9;
+constexpr double kForWork =
+    2.5;  // changes that pass between two transactions of work while changes are short
+constexpr double kForCreations = 0.5;    // the part of the changes that creations get at least, about
+constexpr double kCreationsWaitS = 1.5;  // a creation that would wait longer is not taken
 constexpr Duration kFollow{8'000};
 constexpr Duration kFollowDeadline{10'000};
 constexpr Duration kPause{250};  // after a 429
@@ -17,25 +22,42 @@
 }  // namespace
 
 StateStore::StateStore(const Settings& settings, Io& io, Log log, std::uint64_t seed)
-    : settings_(settings), io_(io), log_(std::move(log)), rng_(seed), refilled_(io.now()) {
-  requests_ = settings_.stateRps / settings_.size() * kOfBudget;
-  writes_ = settings_.stateWriteRps / settings_.size() * kOfBudget;
+    : settings_(settings),
+      io_(io),
+      log_(std::move(log)),
+      rng_(seed),
+      part_(1.0 / settings.size()),
+      refilled_(io.now()) {
+  requests_ = rps();
+  writes_ = wps();
+}
+
+double StateStore::rps() const { return settings_.stateRps * part_ * kOfBudget; }
+double StateStore::wps() const { return settings_.stateWriteRps * part_ * kOfBudget; }
+
+bool StateStore::crowded() const { return writes_ < 0.6 * wps() || !creations_.empty(); }
+
+Duration StateStore::workEvery() const { return seconds(std::min(kForWork / std::max(wps(), 0.1), 1.0)); }
+
+std::optional<int> StateStore::creationsBackedUp() const {
+  double wait = static_cast<double>(creations_.size()) / std::max(wps() * kForCreations, 0.1);
+  if (wait <= kCreationsWaitS) return std::nullopt;
+  return static_cast<int>(std::ceil(wait));
 }
 
 void StateStore::refill() {
   auto now = io_.now();
   double dt = inSeconds(now - refilled_);
   refilled_ = now;
-  double rps = settings_.stateRps / settings_.size() * kOfBudget;
-  double wps = settings_.stateWriteRps / settings_.size() * kOfBudget;
   // A transaction at the limit must always be affordable, however small our part.
-  requests_ = std::min(requests_ + dt * rps, std::max(rps, 2.0));
-  writes_ = std::min(writes_ + dt * wps, std::max(wps, static_cast<double>(settings_.txnOps)));
+  requests_ = std::min(requests_ + dt * rps(), std::max(rps(), 2.0));
+  writes_ = std::min(writes_ + dt * wps(), std::max(wps(), static_cast<double>(settings_.txnOps)));
 }
 
-void StateStore::enqueue(Urgency u, HttpRequest r, unsigned writes, Duration deadline, HttpDone done) {
+void StateStore::enqueue(Urgency u, const char* purpose, HttpRequest r, unsigned writes, Duration deadline,
+                         HttpDone done) {
   queues_[static_cast<std::size_t>(u)].push_back(
-      {std::move(r), writes, io_.now() + deadline, std::move(done)});
+      {purpose, std::move(r), writes, io_.now() + deadline, std::move(done)});
   pump();
 }
 
@@ -50,6 +72,7 @@
       if (head.giveUp <= now) {
         auto done = std::move(head.done);
         q.pop_front();
+        ++tally_.outOfTime;
         io_.after(Duration{0}, [done = std::move(done)] { done({HttpResult::Outcome::NotSent, {}}); });
         continue;
       }
@@ -69,8 +92,10 @@
       writes_ -= head.writes;
       auto job = std::move(head);
       q.pop_front();
+      ++tally_.requests[job.purpose];
       io_.call(settings_.state, std::move(job.request), std::max(job.giveUp - now, Duration{1}),
                [this, done = std::move(job.done)](HttpResult r) {
+                 tally_.refused += r.answered(429);
                  if (r.answered(429)) pausedUntil_ = io_.now() + kPause + Duration{rng_() % 250};
                  done(std::move(r));
                });
@@ -80,8 +105,9 @@
 
 void StateStore::txn(Urgency u, wire::Transaction t, Duration deadline, std::function<void(TxnResult)> done) {
   auto writes = static_cast<unsigned>(t.apply.size());
+  for (const auto& w : t.apply) ++tally_.changes[w.key.substr(0, w.key.find('/') + 1)];
   HttpRequest r{"POST", "/txn", wire::encodeTransaction(t), false};
-  enqueue(u, std::move(r), writes, deadline, [done = std::move(done)](HttpResult h) {
+  enqueue(u, "txn", std::move(r), writes, deadline, [done = std::move(done)](HttpResult h) {
     TxnResult out;
     using O = TxnResult::Outcome;
     if (h.outcome == HttpResult::Outcome::NotSent) {
@@ -117,6 +143,22 @@
 
 void StateStore::createBatch() {
   if (creating_ || creations_.empty()) return;
+  refill();
+  // As many as there are changes to spend: a batch that waits for more would be passed by all else.
+  auto most = std::min<std::size_t>(settings_.txnOps, static_cast<std::size_t>(std::max(writes_, 0.0)));
+  if (most == 0 || io_.now() < pausedUntil_) {
+    while (!creations_.empty() && creations_.front().giveUp <= io_.now()) {
+      auto c = std::move(creations_.front());
+      creations_.pop_front();
+      ++tally_.outOfTime;
+      c.done({TxnResult::Outcome::Refused, {}, {}});
+    }
+    if (std::exchange(createSet_, true)) return;
+    return io_.after(Duration{20}, [this] {
+      createSet_ = false;
+      createBatch();
+    });
+  }
   auto batch = std::make_shared<std::vector<Creation>>();
   wire::Transaction t;
   std::size_t weight = 0;
@@ -126,7 +168,7 @@
     auto c = std::move(creations_.front());
     creations_.pop_front();
     weight += wire::weightOf(c.write);
-    bool full = batch->size() >= settings_.txnOps || (!batch->empty() && weight > 48 * 1024);
+    bool full = batch->size() >= most || (!batch->empty() && weight > 48 * 1024);
     if (full || t.when.count(c.write.key) > 0) {  // a key may stand in a transaction once
       later.push_back(std::move(c));
       continue;
@@ -139,7 +181,7 @@
   creations_ = std::move(later);
   creating_ = true;
   auto wait = std::min(giveUp - io_.now(), Duration{2'000});
-  txn(Urgency::User, std::move(t), std::max(wait, Duration{1}), [this, batch](TxnResult r) {
+  txn(Urgency::Control, std::move(t), std::max(wait, Duration{1}), [this, batch](TxnResult r) {
     creating_ = false;
     std::set<std::string> failed(r.failed.begin(), r.failed.end());
     std::vector<Creation> again;
@@ -158,7 +200,7 @@
 
 void StateStore::get(Urgency u, const std::string& key, Duration deadline,
                      std::function<void(GetResult)> done) {
-  enqueue(u, {"GET", "/keys/" + key, "", false}, 0, deadline, [done = std::move(done)](HttpResult h) {
+  enqueue(u, "get", {"GET", "/keys/" + key, "", false}, 0, deadline, [done = std::move(done)](HttpResult h) {
     GetResult out;
     if (h.answered(404)) {
       out.outcome = GetResult::Outcome::Absent;
@@ -180,7 +222,7 @@
                           std::function<void(ListResult)> done) {
   std::string path = pathOf(prefix) + "&limit=1000";
   if (!since.empty()) path += "&since=" + since;
-  enqueue(u, {"GET", path, "", false}, 0, Duration{3'000},
+  enqueue(u, "list", {"GET", path, "", false}, 0, Duration{3'000},
           [this, u, prefix, sofar, done = std::move(done)](HttpResult h) mutable {
             auto page = h.answered(200) ? wire::parseEntries(h.response.body) : std::nullopt;
             if (!page) return done({});
@@ -195,15 +237,16 @@
 }
 
 void StateStore::openHold(Duration ttl, std::function<void(std::optional<std::uint64_t>)> done) {
-  enqueue(Urgency::Hold, {"POST", "/holds", "{\"ttl_ms\":" + std::to_string(ttl.count()) + "}", false}, 0,
-          Duration{1'000}, [done = std::move(done)](HttpResult h) {
+  enqueue(Urgency::Hold, "hold",
+          {"POST", "/holds", "{\"ttl_ms\":" + std::to_string(ttl.count()) + "}", false}, 0, Duration{1'000},
+          [done = std::move(done)](HttpResult h) {
             done(h.answered(200) ? wire::parseHold(h.response.body) : std::nullopt);
           });
 }
 
 void StateStore::renewHold(std::uint64_t hold, Duration deadline, std::function<void(Renewal)> done) {
-  enqueue(Urgency::Hold, {"POST", "/holds/" + std::to_string(hold) + "/renew", "{}", false}, 0, deadline,
-          [done = std::move(done)](HttpResult h) {
+  enqueue(Urgency::Hold, "hold", {"POST", "/holds/" + std::to_string(hold) + "/renew", "{}", false}, 0,
+          deadline, [done = std::move(done)](HttpResult h) {
             done(h.answered(200) ? Renewal::Good : h.answered(404) ? Renewal::Gone : Renewal::NoAnswer);
           });
 }
@@ -265,10 +308,11 @@
   auto round = ++m.round;
   std::string path = "/follow?prefix=" + m.prefix + "&since=" + std::to_string(m.revision.value) +
                      "&wait_ms=" + std::to_string(kFollow.count());
-  enqueue(Urgency::Control, {"GET", path, "", false}, 0, kFollowDeadline, [this, &m, round](HttpResult r) {
-    if (round != m.round) return;
-    followed(m, r);
-  });
+  enqueue(Urgency::Control, "follow", {"GET", path, "", false}, 0, kFollowDeadline,
+          [this, &m, round](HttpResult r) {
+            if (round != m.round) return;
+            followed(m, r);
+          });
 }
 
 void StateStore::apply(Mirror& m, const wire::KeyPage& news) {
@@ -306,7 +350,7 @@
     if (!m.read) return done(false);
     std::string path =
         "/follow?prefix=" + m.prefix + "&since=" + std::to_string(m.revision.value) + "&wait_ms=0";
-    enqueue(Urgency::Control, {"GET", path, "", false}, 0, Duration{2'000},
+    enqueue(Urgency::Control, "follow", {"GET", path, "", false}, 0, Duration{2'000},
             [this, &m, done = std::move(done)](HttpResult r) {
               auto news = r.answered(200) ? wire::parseNews(r.response.body) : std::nullopt;
               if (!news) {
--- a/src/actors/store.h
+++ b/src/actors/store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <utility>
 
 #include "actors/io.h"
 #include "config/settings.h"
@@ -50,6 +51,14 @@
   StateStore(const Settings& settings, Io& io, Log log, std::uint64_t seed);
 
   void txn(Urgency u, wire::Transaction t, Duration deadline, std::function<void(TxnResult)> done);
+  // This controller's part of the limits, as the load of all is not parted equally.
+  void part(double p) { part_ = p; }
+  // Changes are short: what can wait should come in fewer and wider transactions.
+  bool crowded() const;
+  // The time between two transactions of work that leaves room for everything else.
+  Duration workEvery() const;
+  // Seconds until one more creation would have its turn, if that is longer than anyone should wait.
+  std::optional<int> creationsBackedUp() const;
   // Creates one key that must not exist yet, together with others that come in the meantime.
   void create(wire::Write w, Duration deadline, std::function<void(TxnResult)> done);
   void get(Urgency u, const std::string& key, Duration deadline, std::function<void(GetResult)> done);
@@ -64,11 +73,19 @@
   bool mirrored() const;  // every prefix was read once
   // Calls done once the mirror of the prefix shows at least all that was committed before this call.
   void catchUp(const std::string& prefix, std::function<void(bool)> done);
+  // What was asked of the service, by purpose, since the last call.
+  struct Tally {
+    std::map<std::string, std::uint64_t> requests, changes;
+    std::uint64_t refused = 0;  // 429
+    std::uint64_t outOfTime = 0;
+  };
+  Tally takeTally() { return std::exchange(tally_, {}); }
   // The service is back after a silence: begin all watches anew.
   void restartWatches();
 
  private:
   struct Queued {
+    const char* purpose = "";
     HttpRequest request;
     unsigned writes = 0;
     Time giveUp;
@@ -89,7 +106,8 @@
     std::function<void(TxnResult)> done;
   };
 
-  void enqueue(Urgency u, HttpRequest r, unsigned writes, Duration deadline, HttpDone done);
+  void enqueue(Urgency u, const char* purpose, HttpRequest r, unsigned writes, Duration deadline,
+               HttpDone done);
   void pump();
   void refill();
   void listFrom(Urgency u, std::string prefix, std::string since, std::shared_ptr<ListResult> sofar,
@@ -100,19 +118,23 @@
   void apply(Mirror& m, const wire::KeyPage& news);
   void retry(Mirror& m);
   void createBatch();
+  double rps() const;
+  double wps() const;
 
   const Settings& settings_;
   Io& io_;
   Log log_;
   std::mt19937_64 rng_;
   std::array<std::deque<Queued>, static_cast<std::size_t>(Urgency::Count)> queues_;
+  double part_;
   double requests_ = 0, writes_ = 0;
   Time refilled_;
   Time pausedUntil_{};
   bool pumpSet_ = false;
   std::vector<std::unique_ptr<Mirror>> mirrors_;
+  Tally tally_;
   std::deque<Creation> creations_;
-  bool creating_ = false;
+  bool creating_ = false, createSet_ = false;
 };
 
 }  // namespace cherryloft
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double kEnough = 0.5;     // cores
+constexpr double kIdleBoots = 1.0;  // boot times for which an idle machine is kept
+constexpr double kPaidS = 55;       // the cloud charges a minute at least
 constexpr double kMostAtOnce = 50;  // machines that one request may ask for
 constexpr double kSurplus = 0.1;  // share of the total that must be left over before a machine empties itself
 
@@ -151,9 +153,11 @@
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
     if (!h.counts || h.idleS < minIdleS) continue;
+    const auto* type = findType(catalog, h.type);
+    // Where it is wanted again, another would have to boot, and is paid for meanwhile.
+    if (minIdleS > 0 && (h.idleS < kIdleBoots * (type ? type->bootS : 0) || h.ageS < kPaidS)) continue;
     if (have.ordinary + have.spot - h.cores < t.total || (h.spot && h.cores > spareSpot)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
-    const auto* type = findType(catalog, h.type);
     double price = type && h.cores > 0 ? (h.spot ? type->spotPrice : type->price) / h.cores : 0;
     if (best && price <= bestPrice) continue;
     best = i;
