--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -7,7 +7,8 @@
 
 namespace cherryloft {
 namespace {
-constexpr Duration kCreate{2'000};
+constexpr Duration kCreate{2'500};
+constexpr int kMostRetryAfterS = 20;
 constexpr Duration kStrongRead{1'000};  // users wait 2 s for a poll
 constexpr Duration kAskOwner{600};
 constexpr Duration kWithdraw{2'500};
@@ -49,6 +50,8 @@
   if (dir_.catalog.empty()) return done(wire::userUnavailable("the machine types are not known yet"));
   if (auto why = policy::neverRuns(spec, settings_, dir_.catalog))
     return refuse(spec.id, 422, *why, std::move(done));
+  if (auto wait = store_.creationsBackedUp())
+    return done(wire::userError(503, "more jobs come than can be kept", std::min(*wait, kMostRetryAfterS)));
   accept(std::move(spec), std::move(done));
 }
 
@@ -62,8 +65,7 @@
 
 void Api::accept(JobSpec spec, Responder done) {
   auto id = spec.id;
-  wire::JobRecord record{JobStatus::Open, settings_.shareOfTeam(spec.team), spec.tasks, 0, io_.wall(), {}};
-  record.chunk = static_cast<std::uint32_t>(std::clamp<std::size_t>(settings_.valueBytes / 64, 8, 1024));
+  wire::JobRecord record{JobStatus::Open, settings_.shareOfTeam(spec.team), spec.tasks, io_.wall(), {}};
   record.spec = std::move(spec);
   auto value = wire::encodeJobRecord(record);
   if (value.size() > settings_.valueBytes)
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -21,10 +21,14 @@
   static bool fromWorker(const HttpRequest& r) { return r.target == "/checkin"; }
 
  private:
+  void account();
+  double partOfLimits() const;
   void changed(const wire::KeyChange& c);
   void received(std::uint32_t from, const mesh::Payload& p);
   void taken(const Taken& t);
   void lost(ShareNo k);
+  void showOf(const std::string& address, HttpDone done);
+  void probe(const std::string& address, std::function<void(const std::string& body)> done);
   void jobEnded(const JobId& id, JobStatus s, Stamp stamp);
   void sendLoad(const mesh::ShareLoad& l);
   void wish(const mesh::HostWish& w);
