--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -54,6 +54,7 @@
   for (const auto& [what, n] : t.requests) line += " " + what + "=" + std::to_string(n);
   line += "; changes";
   for (const auto& [what, n] : t.changes) line += " " + what + "=" + std::to_string(n);
+  for (auto& [_, s] : schedulers_) log_->info("last minute: {}", s->account());
   log_->info("last minute: store requests{}; refused {}, out of time {}", line, t.refused, t.outOfTime);
 }
 
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cherryloft {
 namespace {
@@ -10,6 +11,7 @@
 constexpr Duration kLoadEvery{1'000};
 constexpr std::size_t kBusyNamed = 16;
 constexpr Duration kArrivalsKept{120'000};
+constexpr Duration kLeavingKept{20'000};
 
 // "run/<share>/<page>"
 std::optional<PageNo> parsePageKey(const std::string& key, const std::string& prefix) {
@@ -65,7 +67,7 @@
     if (known.record.share == taken_.share) admit(id, known);
   for (const auto& [id, known] : dir_.jobs)
     if (known.share == taken_.share && known.status == JobStatus::Open && known.spec)
-      books_.addJob(id, known);
+      books_.addJob(id, known).since = now;
   auto prefix = keys::runs(taken_.share);
   std::map<TaskId, Restored> placed;
   for (const auto& e : runs.entries) {
@@ -159,6 +161,7 @@
   if (k.status != JobStatus::Open || !k.spec) return;
   auto& job = books_.addJob(id, k);
   auto now = io_.now();
+  job.since = now;
   const Team* team = settings_.team(job.spec->team);
   arrivals_.push_back({now, std::min(job.unfinished().cores, team ? team->coresMax : 0), job.spec->lendable});
   log_->debug("job {} came: {} tasks of {} cores", id.value, job.tasks.size(), job.spec->each.cores);
@@ -251,6 +254,20 @@
   if (!fresh_.empty() || !ending_.empty()) wake(false);
 }
 
+std::string Scheduler::account() {
+  std::size_t open = 0, waiting = 0;
+  for (const auto& [_, j] : books_.jobs()) open += j.open(), waiting += j.waiting.size();
+  auto n = std::exchange(spans_.starts, 0);
+  auto looked = std::exchange(spans_.looked, 0);
+  auto line = fmt::format(
+      "share {}: {} jobs, {} tasks waiting, {} machines ({} open), {} pages; {} starts in {} rounds, widest {}, "
+      "{} machines looked at, {} stopped for others; ms to placed {}; to committed {}; to shown {}",
+      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(), books_.pages().count(), n,
+      std::exchange(spans_.rounds, 0), std::exchange(spans_.widest, 0), looked, std::exchange(spans_.evicted, 0),
+      spans_.toPlaced.take(), spans_.toCommitted.take(), spans_.toShown.take());
+  return line;
+}
+
 // Zones that the job's next task may go to, if no machine in any of them could ever take it.
 void Scheduler::stuckZones(const Job& job, mesh::Demand& d) const {
   std::vector<std::string> open;
@@ -287,6 +304,9 @@
     d.arriving += a.cores / inSeconds(kArrivalsKept);
     d.largestJob = std::max(d.largestJob, a.cores);
   }
+  while (!leaving_.empty() && now - leaving_.front().at > kLeavingKept) leaving_.pop_front();
+  for (const auto& l : leaving_)
+    (l.lendable ? load.lendable : load.firm).leaving += l.cores / inSeconds(kLeavingKept);
   // Machines in plain use are not named, but for the few with least on them: those are let go of first.
   std::vector<const Host*> named, busy;
   for (const auto& [_, h] : books_.hosts()) (!h.open() || h.placements.empty() ? named : busy).push_back(&h);
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -6,6 +6,7 @@
 
 #include "actors/books.h"
 #include "actors/membership.h"
+#include "actors/spans.h"
 #include "actors/store.h"
 #include "mesh/messages.h"
 #include "policy/coupling.h"
@@ -49,6 +50,8 @@
   bool withdraw(const JobId& id, std::function<void(JobStatus)> done);
   bool loaded() const { return loaded_; }
   ShareNo share() const { return taken_.share; }
+  // What was decided since the last call, for operators.
+  std::string account();
 
  private:
   // Calls f only while this actor lives.
@@ -200,6 +203,8 @@
   Time addressSince_{};     // since when some address is not written
   std::size_t asking_ = 0;  // questions to machines that carry no orders
 
+  StartSpans spans_;
+
   // Work that came of late, for the leader's sizing: when, cores, whether it may use spot machines.
   struct Arrival {
     Time at;
@@ -207,6 +212,7 @@
     bool lendable;
   };
   std::deque<Arrival> arrivals_;
+  std::deque<Arrival> leaving_;  // and work that was done
 };
 
 }  // namespace cherryloft
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -155,6 +155,7 @@
     auto it = h->placements.find(task);
     if (it == h->placements.end() || it->second.attempt != attempt || it->second.committed) continue;
     it->second.committed = true;
+    spans_.toCommitted.add(io_.now() - it->second.placedAt);
     if (!it->second.wanted || !h->open()) {
       // Never sent, so it is nowhere.
       lose(*h, task);
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -121,6 +121,7 @@
     }
     auto& p = it->second;
     if (p.shown && p.phase == t.phase) continue;
+    if (!p.shown && !p.restored) spans_.toShown.add(now - p.placedAt);
     books_.setPhase(p, t.phase, now);
     books_.cached(h, p.job->spec->image, p.job->spec->imageGb);
   }
@@ -196,6 +197,7 @@
   if (t.cause == ExitCause::Done) {
     books_.cached(h, job.spec->image, job.spec->imageGb);
     books_.taskDone(h, t.task, now);
+    leaving_.push_back({now, job.spec->each.cores, job.spec->lendable});
     job.failures = 0;
     h.failedJobs.clear();
     if (job.status == JobStatus::Open) {
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
 constexpr double kOverdueS = 90;      // a job that has not begun by then has a turn before all others
 constexpr Duration kBetweenRounds{30};
+constexpr double kPatience = 0.25;  // part of its aim for starts that a job waits before others give way
 constexpr Duration kBetweenEvictions{250};  // what was stopped must be seen to be gone first
 constexpr double kServiceLoss = 600;        // seconds of work that moving a replica counts as
 
@@ -43,7 +44,12 @@
     if (!committing_) commit();
     return;
   }
-  if (!givingTo_) place();
+  if (!givingTo_) {
+    auto before = fresh_.size();
+    place();
+    ++spans_.rounds;
+    spans_.widest = std::max(spans_.widest, fresh_.size() - before);
+  }
   commit();
 }
 
@@ -123,6 +129,8 @@
     h->attention = true;
     fresh_.push_back({job.id, index});
     startsFresh_ = true;
+    spans_.toPlaced.add(io_.now() - job.since);
+    ++spans_.starts;
     log_->debug("{}/{} to {}", job.id.value, index, h->id.value);
     ++got;
   }
@@ -326,7 +334,7 @@
   // As many again may be looked at in vain: holders that are full for their memory, or refused before.
   for (unsigned looked = 0;
        !walks.empty() && out.size() < settings_.tuning.sample && looked < 4 * settings_.tuning.sample;
-       ++looked) {
+       ++looked, ++spans_.looked) {
     auto w = std::min_element(walks.begin(), walks.end(),
                               [&](const Walk& a, const Walk& b) { return key(a) < key(b); });
     Host* h = w->at->second;
@@ -341,6 +349,7 @@
   const auto& owned = books_.openHosts();
   auto picked = policy::sample(owned.size(), settings_.tuning.sample, rng_);
   policy::Peek peek;
+  spans_.looked += picked.size();
   double withRoom = 0, holding = 0;
   for (auto i : picked) {
     if (!job.spec->each.fitsIn(owned[i]->free())) continue;
@@ -399,6 +408,8 @@
     const auto& spec = *job.spec;
     if (asked >= kMostEvictionsAsked) break;
     if (!books_.mayPreempt(spec.rank, r.c.guaranteed)) continue;
+    // In a large fleet room comes free all the time, and what is stopped is lost.
+    if (auto within = settings_.startWithin(spec.jobClass); within && r.c.ageS < kPatience * *within) continue;
     lastRoomMade_ = io_.now();
     double headroom = job.team ? job.team->coresMax - books_.teamUse(spec.team).cores : 0;
     std::vector<Host*> peeked;
@@ -432,6 +443,7 @@
         log_->debug("{} gives way on {} to {}", wire::encodeTask(bestTasks[i]), best->id.value, job.id.value);
         roomOf(*best) += p.job->spec->each;
         stop(*best, bestTasks[i], p);
+        ++spans_.evicted;
         changed.insert(best->id);
       }
       roomOf(*best) -= spec.each;
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -67,7 +67,7 @@
 
 }  // namespace
 
-Targets targets(const ShareFleet& f, const Catalog& catalog, double spareShare) {
+Targets targets(const ShareFleet& f, const Catalog& catalog, double spareShare, double patienceS) {
   double bootS = 0, ratio = 0;  // ratio: ordinary to spot price
   for (const auto& t : catalog) {
     bootS += t.bootS / static_cast<double>(catalog.size());
@@ -80,6 +80,7 @@
   t.total = need + f.firm.arriving * bootS + f.firm.largestTask + f.lendable.largestTask;
   double lendable = f.lendable.used + f.lendable.waiting;
   t.ample = t.total + lendable * spareShare * std::max(0.0, ratio - 1);
+  t.total -= std::min(lendable, f.lendable.leaving * std::min(patienceS, bootS));
   return t;
 }
 
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -13,6 +13,7 @@
 struct Work {
   double used = 0, waiting = 0;  // cores
   double arriving = 0;           // cores per second of late
+  double leaving = 0;            // cores per second that came free of late
   double largestTask = 0;
   double largestJob = 0;  // of those that came of late
   double ramPerCore = 0;
@@ -46,7 +47,8 @@
 };
 // Room for what is there, for what comes while a machine boots, and for one more task of each kind; beyond
 // that, the cheaper spot machines are, the more room is kept on them.
-Targets targets(const ShareFleet& f, const Catalog& catalog, double spareShare);
+// Dear machines are not for work that finds room on the cheap ones within its patience.
+Targets targets(const ShareFleet& f, const Catalog& catalog, double spareShare, double patienceS);
 
 struct Offer {
   std::string type;
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -87,7 +87,7 @@
                   {"l", {32, 0, 128}, 50, 1, 2.18, 0.61, 20, {Zone{"a"}, Zone{"b"}}}};
   ShareFleet f;
   f.lendable = {0, 32, 0, 4, 0, 1, {}, {}};
-  auto t = targets(f, catalog, 0);
+  auto t = targets(f, catalog, 0, 0);
   auto w = rent(f, t, catalog, {});
   ASSERT_TRUE(w);
   EXPECT_TRUE(w->offer.spot);
@@ -101,11 +101,11 @@
   f.hosts = {{"l", Zone{"a"}, true, 32, true, 60},
              {"l", Zone{"a"}, false, 32, true, 60},
              {"s", Zone{"a"}, false, 8, true, 2}};
-  auto go = letGo(f, targets(f, catalog, 0), catalog, 10, 1000);
+  auto go = letGo(f, targets(f, catalog, 0, 0), catalog, 10, 1000);
   ASSERT_TRUE(go);
   EXPECT_EQ(*go, 1u);
   f.firm.used = 40;  // all ordinary machines are needed
-  EXPECT_NE(letGo(f, targets(f, catalog, 0), catalog, 10, 1000), std::optional<std::size_t>(1));
+  EXPECT_NE(letGo(f, targets(f, catalog, 0, 0), catalog, 10, 1000), std::optional<std::size_t>(1));
 }
 
 TEST(Settings, SharesAndTimes) {
