--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -16,7 +16,6 @@
 constexpr double kNeverUp = 3.0;  // boot times after which a starting machine is given up
 constexpr double kNeverUpPlusS = 20;
 constexpr double kLateBoot = 2.0;  // boot times after which it is no longer counted on
-constexpr double kPatience = 0.1;  // part of the tightest aim to be done that work may wait for cheap room
 constexpr double kMinIdleS = 10;
 constexpr double kMinAgeS = 60;  // what the cloud charges at least
 constexpr double kSettleS = 5;   // a new leader looks before it acts
@@ -331,7 +330,8 @@
 
 policy::ShareFleet Fleet::fleetOf(ShareNo k) const {
   auto work = [](const mesh::Demand& d) {
-    policy::Work w{d.used, d.waiting, d.arriving, d.leaving, d.largestTask, d.largestJob, d.ramPerCore, d.types, {}};
+    policy::Work w{d.used,        d.waiting,    d.arriving,   d.leaving, d.runS,
+                   d.largestTask, d.largestJob, d.ramPerCore, d.types,   {}};
     for (const auto& z : d.stuckZones) w.stuckZones.push_back(Zone{z});
     return w;
   };
@@ -405,13 +405,12 @@
   auto now = io_.now();
   std::map<ShareNo, policy::ShareFleet> fleets;
   std::map<ShareNo, policy::Targets> targets;
-  double patience = 1e9;
-  for (const auto& a : settings_.finishAims) patience = std::min(patience, kPatience * a.withinS);
   for (std::uint32_t k = 0; k < settings_.size(); ++k) {
     auto s = loads_.find(ShareNo{k});
     if (s == loads_.end() || now - s->second.at > kLoadStale) continue;
     fleets[ShareNo{k}] = fleetOf(ShareNo{k});
-    targets[ShareNo{k}] = policy::targets(fleets[ShareNo{k}], prices_, settings_.tuning.spareShare, patience);
+    targets[ShareNo{k}] =
+        policy::targets(fleets[ShareNo{k}], prices_, settings_.tuning.spareShare, settings_.patienceS());
   }
   bool beat = now - moveAt_ >= settings_.tuning.moveEvery;
   if (beat) moveAt_ = now;
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -260,11 +260,13 @@
   auto n = std::exchange(spans_.starts, 0);
   auto looked = std::exchange(spans_.looked, 0);
   auto line = fmt::format(
-      "share {}: {} jobs, {} tasks waiting, {} machines ({} open), {} pages; {} starts in {} rounds, widest {}, "
+      "share {}: {} jobs, {} tasks waiting, {} machines ({} open), {} pages; {} starts in {} rounds, widest "
+      "{}, "
       "{} machines looked at, {} stopped for others; ms to placed {}; to committed {}; to shown {}",
-      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(), books_.pages().count(), n,
-      std::exchange(spans_.rounds, 0), std::exchange(spans_.widest, 0), looked, std::exchange(spans_.evicted, 0),
-      spans_.toPlaced.take(), spans_.toCommitted.take(), spans_.toShown.take());
+      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(),
+      books_.pages().count(), n, std::exchange(spans_.rounds, 0), std::exchange(spans_.widest, 0), looked,
+      std::exchange(spans_.evicted, 0), spans_.toPlaced.take(), spans_.toCommitted.take(),
+      spans_.toShown.take());
   return line;
 }
 
@@ -286,6 +288,7 @@
   mesh::ShareLoad load;
   load.share = taken_.share.value;
   load.epoch = taken_.epoch.value;
+  std::map<const mesh::Demand*, std::pair<double, double>> left;  // core seconds and cores not done yet
   for (auto& [id, job] : books_.jobs()) {
     auto& d = job.spec->lendable ? load.lendable : load.firm;
     const auto& each = job.spec->each;
@@ -294,6 +297,9 @@
     double limit = job.team ? std::max(0.0, job.team->coresMax - books_.teamUse(job.spec->team).cores) : 0;
     d.waiting += std::min(each.cores * static_cast<double>(job.waiting.size()), limit);
     d.largestTask = std::max(d.largestTask, each.cores);
+    auto cores = job.unfinished().cores;
+    left[&d].first += cores * job.spec->expectS;
+    left[&d].second += cores;
     if (each.cores > 0) d.ramPerCore = std::max(d.ramPerCore, each.ram / each.cores);
     if (job.spec->types) d.types = *job.spec->types;
     if (!job.waiting.empty() && (job.spec->spread || job.spec->zone || job.spec->oneZone)) stuckZones(job, d);
@@ -304,19 +310,26 @@
     d.arriving += a.cores / inSeconds(kArrivalsKept);
     d.largestJob = std::max(d.largestJob, a.cores);
   }
+  for (auto* d : {&load.firm, &load.lendable})
+    if (auto l = left.find(d); l != left.end() && l->second.second > 0)
+      d->runS = l->second.first / l->second.second;
   while (!leaving_.empty() && now - leaving_.front().at > kLeavingKept) leaving_.pop_front();
   for (const auto& l : leaving_)
     (l.lendable ? load.lendable : load.firm).leaving += l.cores / inSeconds(kLeavingKept);
-  // Machines in plain use are not named, but for the few with least on them: those are let go of first.
-  std::vector<const Host*> named, busy;
-  for (const auto& [_, h] : books_.hosts()) (!h.open() || h.placements.empty() ? named : busy).push_back(&h);
-  auto few = std::min(kBusyNamed, busy.size());
-  std::partial_sort(busy.begin(), busy.begin() + static_cast<std::ptrdiff_t>(few), busy.end(),
-                    [](const Host* a, const Host* b) {
-                      return std::pair(a->used.cores, a->no) < std::pair(b->used.cores, b->no);
-                    });
-  busy.resize(few);
-  named.insert(named.end(), busy.begin(), busy.end());
+  // Machines in plain use are not named, but for the few of each kind with least on them: those are let go of
+  // first.
+  std::vector<const Host*> named;
+  std::array<std::vector<const Host*>, 2> busy;
+  for (const auto& [_, h] : books_.hosts())
+    (!h.open() || h.placements.empty() ? named : busy[h.spot()]).push_back(&h);
+  for (auto& kind : busy) {
+    auto few = std::min(kBusyNamed, kind.size());
+    std::partial_sort(kind.begin(), kind.begin() + static_cast<std::ptrdiff_t>(few), kind.end(),
+                      [](const Host* a, const Host* b) {
+                        return std::pair(a->used.cores, a->no) < std::pair(b->used.cores, b->no);
+                      });
+    named.insert(named.end(), kind.begin(), kind.begin() + static_cast<std::ptrdiff_t>(few));
+  }
   for (const Host* h : named) {
     double idle = h->placements.empty() ? inSeconds(now - h->idleSince) : 0;
     bool draining = h->leaving || h->reclaimAt || h->known.record.phase != wire::HostPhase::InUse;
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -409,7 +409,8 @@
     if (asked >= kMostEvictionsAsked) break;
     if (!books_.mayPreempt(spec.rank, r.c.guaranteed)) continue;
     // In a large fleet room comes free all the time, and what is stopped is lost.
-    if (auto within = settings_.startWithin(spec.jobClass); within && r.c.ageS < kPatience * *within) continue;
+    if (auto within = settings_.startWithin(spec.jobClass); within && r.c.ageS < kPatience * *within)
+      continue;
     lastRoomMade_ = io_.now();
     double headroom = job.team ? job.team->coresMax - books_.teamUse(spec.team).cores : 0;
     std::vector<Host*> peeked;
--- a/src/actors/spans.cpp
+++ b/src/actors/spans.cpp
@@ -23,8 +23,8 @@
 
 std::string Span::take() {
   auto whole = [](double ms) { return std::to_string(static_cast<long>(ms)); };
-  auto line = "n=" + std::to_string(count_) + " p50=" + whole(quantile(0.5)) + " p90=" + whole(quantile(0.9)) +
-              " max=" + std::to_string(most_.count());
+  auto line = "n=" + std::to_string(count_) + " p50=" + whole(quantile(0.5)) +
+              " p90=" + whole(quantile(0.9)) + " max=" + std::to_string(most_.count());
   bins_.reset();
   count_ = 0;
   most_ = Duration{0};
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -87,6 +87,12 @@
   return tightest(startAims, jobClass);
 }
 
+double Settings::patienceS() const {
+  double s = guaranteeWithinS ? 0.5 * *guaranteeWithinS : 1e9;
+  for (const auto& a : finishAims) s = std::min(s, 0.1 * a.withinS);
+  return s < 1e9 ? s : 0;
+}
+
 const Team* Settings::team(const TeamId& name) const {
   auto it = std::lower_bound(teams.begin(), teams.end(), name,
                              [](const Team& t, const TeamId& n) { return t.name < n; });
@@ -136,8 +142,9 @@
   // Aims only guide the order of work: what is not understood is left out.
   if (d.contains("objectives") && d.at("objectives").is_array()) {
     for (const auto& o : d.at("objectives")) {
-      if (!o.is_object() || !o.contains("class") || !o.at("class").is_string()) continue;
-      if (!o.contains("within_s") || !o.at("within_s").is_number()) continue;
+      if (!o.is_object() || !o.contains("within_s") || !o.at("within_s").is_number()) continue;
+      if (o.value("kind", json()) == "guarantee") s.guaranteeWithinS = o.at("within_s").get<double>();
+      if (!o.contains("class") || !o.at("class").is_string()) continue;
       TimeAim aim{o.at("class").get<std::string>(), o.at("within_s").get<double>()};
       auto kind = o.value("kind", json());
       if (kind == "finished") s.finishAims.push_back(aim);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -60,6 +60,7 @@
   std::vector<Zone> zones;
   std::vector<Team> teams;  // sorted by name
   std::vector<TimeAim> finishAims, startAims;
+  std::optional<double> guaranteeWithinS;  // "work within a guarantee should have started so soon"
   double reportS = 3, leaseS = 45, cancelS = 75;
   double stateRps = 100, stateWriteRps = 50;
   std::size_t valueBytes = 4096;
@@ -81,6 +82,8 @@
   // The shortest time within which jobs of the class should be done, or started, if there is an aim for it.
   std::optional<double> finishWithin(const std::string& jobClass) const;
   std::optional<double> startWithin(const std::string& jobClass) const;
+  // How long work may wait for cheap room and still meet what is aimed at, with a reserve.
+  double patienceS() const;
   const Team* team(const TeamId& name) const;
   ShareNo homeShare(const NodeId& name) const;
 };
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -98,6 +98,7 @@
   double waiting = 0;   // within the teams' limits
   double arriving = 0;  // cores asked for per second of late
   double leaving = 0;   // cores that tasks done left per second of late
+  double runS = 0;      // how long tasks take, as their owners say
   double largestTask = 0;
   double largestJob = 0;  // of those that came of late
   double ramPerCore = 0;
@@ -105,7 +106,7 @@
   std::vector<std::string> stuckZones;  // where machines are missing for tasks that may go nowhere else
   template <class A>
   void serialize(A& a) {
-    a(used, waiting, arriving, leaving, largestTask, largestJob, ramPerCore, types, stuckZones);
+    a(used, waiting, arriving, leaving, runS, largestTask, largestJob, ramPerCore, types, stuckZones);
   }
 };
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -80,7 +80,11 @@
   t.total = need + f.firm.arriving * bootS + f.firm.largestTask + f.lendable.largestTask;
   double lendable = f.lendable.used + f.lendable.waiting;
   t.ample = t.total + lendable * spareShare * std::max(0.0, ratio - 1);
-  t.total -= std::min(lendable, f.lendable.leaving * std::min(patienceS, bootS));
+  // What is there, or about to be, frees room at least as fast as its tasks take on average.
+  double turnover = f.lendable.leaving;
+  if (f.lendable.runS > 0)
+    turnover = std::max(turnover, std::min(lendable, coresOf(f) - f.firm.used) / f.lendable.runS);
+  t.total -= std::clamp(turnover * patienceS, 0.0, lendable);
   return t;
 }
 
@@ -155,8 +159,11 @@
     const auto& h = f.hosts[i];
     if (!h.counts || h.idleS < minIdleS) continue;
     const auto* type = findType(catalog, h.type);
-    // Where it is wanted again, another would have to boot, and is paid for meanwhile.
-    if (minIdleS > 0 && (h.idleS < kIdleBoots * (type ? type->bootS : 0) || h.ageS < kPaidS)) continue;
+    // Where it is wanted again, another would have to boot, and is paid for meanwhile. A dear machine is not
+    // kept for that while there is plenty.
+    bool plenty = !h.spot && have.ordinary + have.spot - h.cores > (1 + kSurplus) * t.total;
+    double keepS = plenty ? 0 : kIdleBoots * (type ? type->bootS : 0);
+    if (minIdleS > 0 && (h.idleS < keepS || h.ageS < kPaidS)) continue;
     if (have.ordinary + have.spot - h.cores < t.total || (h.spot && h.cores > spareSpot)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
     double price = type && h.cores > 0 ? (h.spot ? type->spotPrice : type->price) / h.cores : 0;
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -14,6 +14,7 @@
   double used = 0, waiting = 0;  // cores
   double arriving = 0;           // cores per second of late
   double leaving = 0;            // cores per second that came free of late
+  double runS = 0;               // how long tasks take, as their owners say
   double largestTask = 0;
   double largestJob = 0;  // of those that came of late
   double ramPerCore = 0;
