--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -173,6 +173,7 @@
   auto it = host.placements.find(task);
   if (it == host.placements.end()) return;
   Job& job = *it->second.job;
+  job.lost += it->second.shown && host.spot();
   release(host, it, now);
   auto& t = job.tasks[task.index];
   t.state = TaskState::Waiting;
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -45,8 +45,10 @@
   std::deque<std::uint32_t> waiting;
   std::map<Zone, unsigned> zones;  // its tasks by zone, as the placement rules count them
   std::uint32_t done = 0, placed = 0, running = 0;
-  Time since{};        // when this controller learnt of it
-  bool begun = false;  // a task of it was placed once
+  Time since{};            // when this controller learnt of it
+  bool begun = false;      // a task of it was placed once
+  bool avoidSpot = false;  // in this turn
+  unsigned lost = 0;       // tasks that were to go on and are gone
   std::set<HostId> failedOn;
   unsigned failures = 0;  // in a row
   Time notBefore{};
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -295,7 +295,8 @@
     d.used += each.cores * job.placed;
     if (!job.open()) continue;
     double limit = job.team ? std::max(0.0, job.team->coresMax - books_.teamUse(job.spec->team).cores) : 0;
-    d.waiting += std::min(each.cores * static_cast<double>(job.waiting.size()), limit);
+    auto& w = fragile(job) ? load.firm : d;
+    w.waiting += std::min(each.cores * static_cast<double>(job.waiting.size()), limit);
     d.largestTask = std::max(d.largestTask, each.cores);
     auto cores = job.unfinished().cores;
     left[&d].first += cores * job.spec->expectS;
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -125,6 +125,7 @@
   bool placeGang(Job& job);
   bool keepEmptying();
   bool anyRoom(const Job& job) const;
+  bool fragile(const Job& job) const;
   bool tooSlow(const Job& job, const Host& h) const;
   bool holderCouldMakeRoom(const Job& job) const;
   std::pair<std::vector<policy::Victim>, std::vector<TaskId>> victims(const Job& job, bool guaranteed,
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
 constexpr double kOverdueS = 90;      // a job that has not begun by then has a turn before all others
 constexpr Duration kBetweenRounds{30};
+constexpr double kLongRun = 0.7;  // part of what its aim allows that makes a task too long for a spot machine
+constexpr double kLostRun = 0.5;  // the same for age and run of a job that lost a task already
+constexpr double kNoHope = 1.3;
 constexpr double kPatience = 0.25;  // part of its aim for starts that a job waits before others give way
 constexpr Duration kBetweenEvictions{250};  // what was stopped must be seen to be gone first
 constexpr double kServiceLoss = 600;        // seconds of work that moving a replica counts as
@@ -113,6 +116,7 @@
 
 unsigned Scheduler::placeSome(Job& job, unsigned most) {
   if (!books_.withinLimit(job)) return 0;
+  job.avoidSpot = fragile(job);
   auto turn = look(job);
   unsigned got = 0;
   // The members of a gang find each other by their common attempt.
@@ -120,6 +124,10 @@
   if (gang) ++attempts_;
   while (got < most && !job.waiting.empty() && books_.withinLimit(job)) {
     Host* h = choose(job, turn);
+    if (!h && std::exchange(job.avoidSpot, false)) {
+      turn = look(job);
+      continue;
+    }
     if (!h) break;
     auto index = job.waiting.front();
     job.waiting.pop_front();
@@ -134,9 +142,20 @@
     log_->debug("{}/{} to {}", job.id.value, index, h->id.value);
     ++got;
   }
+  job.avoidSpot = false;
   return got;
 }
 
+// One more loss of a cheap machine and the job is late: it rather goes to ordinary ones, while it has hope.
+bool Scheduler::fragile(const Job& job) const {
+  const auto& s = *job.spec;
+  auto within = settings_.finishWithin(s.jobClass);
+  if (!s.lendable || !within) return false;
+  double ageS = static_cast<double>(io_.wall().value - job.submitted.value) / 1000.0;
+  if (ageS + s.expectS > kNoHope * *within) return false;
+  return s.expectS > kLongRun * *within || (job.lost > 0 && ageS + s.expectS > kLostRun * *within);
+}
+
 // A gang is placed whole: machines for all its members in one pass, or none of them. False: it is blocked.
 bool Scheduler::placeGang(Job& job) {
   if (job.placed > 0) return true;  // what is left of an earlier try must go first
@@ -248,7 +267,7 @@
 
 bool Scheduler::allowedKind(const Job& job, const Host& h) const {
   const auto& s = *job.spec;
-  if (!s.allowsType(h.known.record.type) || (h.spot() && !s.lendable)) return false;
+  if (!s.allowsType(h.known.record.type) || (h.spot() && (!s.lendable || job.avoidSpot))) return false;
   return job.failedOn.count(h.id) == 0 || job.failedOn.size() >= books_.hosts().size();
 }
 
@@ -323,7 +342,8 @@
   };
   std::vector<Walk> walks;
   for (const auto& p : books_.pools()) {
-    if ((p.spot && !spec.lendable) || !spec.allowsType(p.type) || !zoneAllows(job, p.zone)) continue;
+    if ((p.spot && (!spec.lendable || job.avoidSpot)) || !spec.allowsType(p.type) || !zoneAllows(job, p.zone))
+      continue;
     auto at = p.byRoom.lower_bound({spec.each.cores - 1e-6, 0});
     if (at != p.byRoom.end()) walks.push_back({&p, at});
   }
