--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -78,6 +78,12 @@
   }
 }
 
+Counts Node::counts() const {
+  Counts sum;
+  for (const auto& [_, s] : schedulers_) sum.starts += s->counts().starts, sum.looked += s->counts().looked;
+  return sum;
+}
+
 // Most of what is asked of the store is asked for a share, by its owner; the rest by every living controller.
 double Node::partOfLimits() const {
   constexpr double kEach = 0.5;
@@ -186,8 +192,9 @@
 
 void Node::up(Responder done) {
   // Out of service only if the store is lost to us alone: were it lost to all, taking all out would help
-  // nobody.
-  bool alone = !membership_.standing().owns(io_.now()) && peers_.someoneHasStore();
+  // nobody. One that hears no sibling either can't know, and can't take requests whichever it is.
+  bool cutOff = !settings_.siblings.empty() && !peers_.hearsAny();
+  bool alone = !membership_.standing().owns(io_.now()) && (cutOff || peers_.someoneHasStore());
   bool ok = serving() && !alone;
   done({ok ? 200 : 503, ok ? "{}" : R"({"error":"not serving"})", false, 0});
 }
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -18,6 +18,7 @@
   void start();
   void request(HttpRequest r, Responder done);
   void frame(const mesh::Frame& f) { peers_.frame(f); }
+  Counts counts() const;
   static bool fromWorker(const HttpRequest& r) { return r.target == "/checkin"; }
 
  private:
--- a/src/actors/peers.cpp
+++ b/src/actors/peers.cpp
@@ -24,6 +24,12 @@
   return x.heard != Time{} && io_.now() - x.heard < kHeard;
 }
 
+bool Peers::hearsAny() const {
+  for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
+    if (n != self_ && hears(n)) return true;
+  return false;
+}
+
 bool Peers::someoneHasStore() const {
   for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
     if (n != self_ && hears(n) && neighbours_[n].pulse.store) return true;
--- a/src/actors/peers.h
+++ b/src/actors/peers.h
@@ -30,6 +30,7 @@
     send(to, std::move(a));
   }
   bool hears(std::uint32_t n) const;
+  bool hearsAny() const;
   // Some sibling, heard of late, holds its hold.
   bool someoneHasStore() const;
   std::uint32_t self() const { return self_; }
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -257,8 +257,8 @@
 std::string Scheduler::account() {
   std::size_t open = 0, waiting = 0;
   for (const auto& [_, j] : books_.jobs()) open += j.open(), waiting += j.waiting.size();
-  auto n = std::exchange(spans_.starts, 0);
-  auto looked = std::exchange(spans_.looked, 0);
+  auto n = spans_.counts.starts - accounted_.starts, looked = spans_.counts.looked - accounted_.looked;
+  accounted_ = spans_.counts;
   auto line = fmt::format(
       "share {}: {} jobs, {} tasks waiting, {} machines ({} open), {} pages; {} starts in {} rounds, widest "
       "{}, "
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -52,6 +52,7 @@
   ShareNo share() const { return taken_.share; }
   // What was decided since the last call, for operators.
   std::string account();
+  const Counts& counts() const { return spans_.counts; }
 
  private:
   // Calls f only while this actor lives.
@@ -141,7 +142,7 @@
     std::optional<policy::Peek> peek;
     std::optional<std::set<Zone>> holdingZones;
   };
-  Turn look(const Job& job) const;
+  Turn look(const Job& job);
   Host* choose(Job& job, Turn& turn);
   Host* holder(const Job& job, Turn& turn) const;
   std::vector<Host*> others(const Job& job, const Turn& turn);
@@ -205,6 +206,7 @@
   std::size_t asking_ = 0;  // questions to machines that carry no orders
 
   StartSpans spans_;
+  Counts accounted_;
 
   // Work that came of late, for the leader's sizing: when, cores, whether it may use spot machines.
   struct Arrival {
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -138,7 +138,7 @@
     fresh_.push_back({job.id, index});
     startsFresh_ = true;
     spans_.toPlaced.add(io_.now() - job.since);
-    ++spans_.starts;
+    ++spans_.counts.starts;
     log_->debug("{}/{} to {}", job.id.value, index, h->id.value);
     ++got;
   }
@@ -291,8 +291,9 @@
 
 // A turn's look at the machines that cache the image. They stay in order while the turn fills them: the
 // fullest that still fits comes first.
-Scheduler::Turn Scheduler::look(const Job& job) const {
+Scheduler::Turn Scheduler::look(const Job& job) {
   Turn turn;
+  spans_.counts.looked += job.holders->size();
   for (const auto& [_, h] : *job.holders)
     if (job.spec->each.fitsIn(h->free()) && allowed(job, *h)) turn.holders.push_back(h);
   std::sort(turn.holders.begin(), turn.holders.end(),
@@ -354,7 +355,7 @@
   // As many again may be looked at in vain: holders that are full for their memory, or refused before.
   for (unsigned looked = 0;
        !walks.empty() && out.size() < settings_.tuning.sample && looked < 4 * settings_.tuning.sample;
-       ++looked, ++spans_.looked) {
+       ++looked, ++spans_.counts.looked) {
     auto w = std::min_element(walks.begin(), walks.end(),
                               [&](const Walk& a, const Walk& b) { return key(a) < key(b); });
     Host* h = w->at->second;
@@ -369,7 +370,7 @@
   const auto& owned = books_.openHosts();
   auto picked = policy::sample(owned.size(), settings_.tuning.sample, rng_);
   policy::Peek peek;
-  spans_.looked += picked.size();
+  spans_.counts.looked += picked.size();
   double withRoom = 0, holding = 0;
   for (auto i : picked) {
     if (!job.spec->each.fitsIn(owned[i]->free())) continue;
--- a/src/actors/spans.h
+++ b/src/actors/spans.h
@@ -24,10 +24,16 @@
   Duration most_{0};
 };
 
+// What decisions cost since the process began: the same every time in virtual time.
+struct Counts {
+  std::size_t starts = 0, looked = 0;  // machines looked at
+};
+
 // From a task's arrival to the round that placed it, to its commit, and to the report that showed it.
 struct StartSpans {
   Span toPlaced, toCommitted, toShown;
-  std::size_t starts = 0, looked = 0, rounds = 0, widest = 0, evicted = 0;
+  Counts counts;
+  std::size_t rounds = 0, widest = 0, evicted = 0;
 };
 
 }  // namespace cherryloft
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -86,7 +86,7 @@
   Catalog catalog{{"s", {8, 0, 16}, 30, 1, 0.48, 0.13, 30, {Zone{"a"}}},
                   {"l", {32, 0, 128}, 50, 1, 2.18, 0.61, 20, {Zone{"a"}, Zone{"b"}}}};
   ShareFleet f;
-  f.lendable = {0, 32, 0, 4, 0, 1, {}, {}};
+  f.lendable = {0, 32, 0, 0, 0, 4, 0, 1, {}, {}};
   auto t = targets(f, catalog, 0, 0);
   auto w = rent(f, t, catalog, {});
   ASSERT_TRUE(w);
--- a/tests/world/checker.cpp
+++ b/tests/world/checker.cpp
@@ -1,8 +1,25 @@
 #include "world/checker.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace world {
+namespace {
+constexpr Ms kForgotten = 75'000;  // without an answer, once all troubles are over
+constexpr Ms kToBegin = 240'000;   // within which half of every kind of job is to begin
+}  // namespace
+
+void Checker::submitted(const cherryloft::JobSpec& spec) {
+  auto& j = jobs_[spec.id.value];
+  j.spec = spec;
+  j.submittedAt = clock_.now();
+}
+
+void Checker::accepted(const std::string& job) {
+  auto& j = jobs_[job];
+  if (!j.accepted) j.acceptedAt = clock_.now();
+  j.accepted = true;
+}
 
 void Checker::asked404(const std::string& job) {
   if (jobs_[job].accepted) breaks("forgotten", job + " was accepted and got 404");
@@ -35,6 +52,7 @@
   const auto& s = *j.spec;
   auto name = job + "/" + std::to_string(index);
   ++j.starts;
+  if (j.begunAt < 0) j.begunAt = clock_.now();
   if (j.on.count(index)) breaks("ran_twice", name + " starts on " + m.id + " while on " + j.on[index].id);
   if (j.final == "aborted" && clock_.now() - j.finalAt > static_cast<Ms>(settings_.cancelS * 1000))
     breaks("ran_cancelled", name + " starts after its cancellation");
@@ -64,6 +82,11 @@
 
 void Checker::review() {
   for (auto& [id, j] : jobs_) {
+    auto since = std::max({j.acceptedAt, j.answeredAt, troublesEnd_});
+    if (j.accepted && !j.cancelAsked && !j.silent && clock_.now() - since > kForgotten) {
+      j.silent = true;
+      breaks("forgotten", id + " was asked about in vain for " + std::to_string(kForgotten / 1000) + " s");
+    }
     if (j.final != "aborted" || j.on.empty()) continue;
     if (clock_.now() - j.finalAt <= static_cast<Ms>(settings_.cancelS * 1000)) continue;
     breaks("ran_cancelled", id + " is still on " + j.on.begin()->second.id);
@@ -71,11 +94,43 @@
   }
 }
 
+void Checker::judge(const std::string& whom, const std::vector<const Job*>& jobs) {
+  auto begun = std::count_if(jobs.begin(), jobs.end(), [](const Job* j) {
+    return j->begunAt >= 0 && j->begunAt - j->submittedAt <= kToBegin;
+  });
+  if (2 * static_cast<std::size_t>(begun) < jobs.size())
+    breaks("unserved", whom + ": only " + std::to_string(begun) + " of " + std::to_string(jobs.size()) +
+                           " jobs began within four minutes");
+}
+
+// Of each class, of each team and of the largest tenth of each class, those that had four minutes to begin.
+void Checker::judgeService() {
+  std::map<std::string, std::vector<const Job*>> classes, teams;
+  for (const auto& [id, j] : jobs_) {
+    if (!j.accepted || j.cancelAsked || clock_.now() - j.submittedAt < kToBegin) continue;
+    classes["class " + j.spec->jobClass].push_back(&j);
+    teams["team " + j.spec->team.value].push_back(&j);
+  }
+  for (const auto& [name, jobs] : teams) judge(name, jobs);
+  for (auto& [name, jobs] : classes) {
+    judge(name, jobs);
+    auto size = [](const Job* j) { return j->spec->each.cores * j->spec->tasks; };
+    std::stable_sort(jobs.begin(), jobs.end(), [&](auto* a, auto* b) { return size(a) > size(b); });
+    jobs.resize((jobs.size() + 9) / 10);
+    judge("largest of " + name, jobs);
+  }
+}
+
 unsigned Checker::startsOf(const std::string& job) const {
   auto it = jobs_.find(job);
   return it == jobs_.end() ? 0 : it->second.starts;
 }
 
+Ms Checker::begunAt(const std::string& job) const {
+  auto it = jobs_.find(job);
+  return it == jobs_.end() ? -1 : it->second.begunAt;
+}
+
 bool Checker::allDone(const std::string& job) const {
   auto it = jobs_.find(job);
   return it != jobs_.end() && it->second.spec && it->second.done.size() == it->second.spec->tasks;
--- a/tests/world/checker.h
+++ b/tests/world/checker.h
@@ -27,12 +27,18 @@
   Checker(Clock& clock, const cherryloft::Settings& settings) : clock_(clock), settings_(settings) {}
 
   // What users did and were told.
-  void submitted(const cherryloft::JobSpec& spec) { jobs_[spec.id.value].spec = spec; }
-  void accepted(const std::string& job) { jobs_[job].accepted = true; }
+  void submitted(const cherryloft::JobSpec& spec);
+  void accepted(const std::string& job);
   void asked404(const std::string& job);
   void refusedRetry(const std::string& job, int status);
   void told(const std::string& job, const std::string& status);
   void cancelAsked(const std::string& job) { jobs_[job].cancelAsked = true; }
+  // A question about it was answered, whatever the answer.
+  void answered(const std::string& job) { jobs_[job].answeredAt = clock_.now(); }
+  // All troubles are over from then on.
+  void troublesEnd(Ms at) { troublesEnd_ = std::max(troublesEnd_, at); }
+  // To be called at the end: who was not served.
+  void judgeService();
   // What machines did. A task is on its machine from the moment its image is there.
   void started(const Machine& m, const std::string& job, std::uint32_t index);
   void left(const std::string& machine, const std::string& job, std::uint32_t index, bool done);
@@ -41,6 +47,7 @@
 
   const std::vector<Broken>& broken() const { return broken_; }
   unsigned startsOf(const std::string& job) const;
+  Ms begunAt(const std::string& job) const;  // -1: it has not
   bool allDone(const std::string& job) const;
   std::set<std::string> machinesOf(const std::string& job) const;
 
@@ -48,12 +55,15 @@
   struct Job {
     std::optional<cherryloft::JobSpec> spec;
     bool accepted = false, cancelAsked = false;
-    std::string final;  // done or aborted, as told
+    Ms submittedAt = 0, acceptedAt = -1, answeredAt = -1, begunAt = -1;
+    bool silent = false;  // was found to be forgotten
+    std::string final;    // done or aborted, as told
     Ms finalAt = -1;
     std::set<std::uint32_t> done;
     std::map<std::uint32_t, Machine> on;
     unsigned starts = 0;
   };
+  void judge(const std::string& whom, const std::vector<const Job*>& jobs);
   void breaks(const std::string& rule, const std::string& what) {
     broken_.push_back({clock_.now(), rule, what});
   }
@@ -61,6 +71,7 @@
   Clock& clock_;
   const cherryloft::Settings& settings_;
   std::map<std::string, Job> jobs_;
+  Ms troublesEnd_ = 0;
   std::vector<Broken> broken_;
 };
 
--- a/tests/world/cloud.cpp
+++ b/tests/world/cloud.cpp
@@ -25,8 +25,8 @@
 }
 
 std::string Cloud::addressOf(const std::string& id) const {
-  return "10.1." + id.substr(id.size() - 3, 1) + "." +
-         std::to_string(std::stoi(id.substr(id.size() - 2)) + 1) + ":9000";
+  int n = std::stoi(id.substr(id.rfind('-') + 1));
+  return "10.1." + std::to_string(n / 100) + "." + std::to_string(n % 100 + 1) + ":9000";
 }
 
 Cloud::Rented& Cloud::create(const std::string& type, const std::string& zone, bool spot) {
@@ -72,6 +72,18 @@
   });
 }
 
+void Cloud::reboot(const std::string& host, Ms after) {
+  if (auto& w = hosts_.at(host).worker) w->die();
+  clock_.after(after, [this, host] { up(host); });
+}
+
+std::vector<std::string> Cloud::inZone(const std::string& zone) const {
+  std::vector<std::string> out;
+  for (const auto& [id, r] : hosts_)
+    if (r.machine.zone == zone && r.worker && r.goneAt < 0) out.push_back(id);
+  return out;
+}
+
 Worker* Cloud::worker(const std::string& host) {
   auto it = hosts_.find(host);
   return it == hosts_.end() ? nullptr : it->second.worker.get();
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -100,6 +100,9 @@
   void noCapacity(Ms until) { noCapacityUntil_ = until; }
   void die(const std::string& host);
   void reclaim(const std::string& host, Ms notice);
+  // Its worker ends with all it has, and another one begins from the start.
+  void reboot(const std::string& host, Ms after);
+  std::vector<std::string> inZone(const std::string& zone) const;
   Worker* worker(const std::string& host);
   // The n-th machine that is up, in order of names; null if there are fewer.
   Worker* nth(unsigned n);
--- a/tests/world/net.cpp
+++ b/tests/world/net.cpp
@@ -15,10 +15,30 @@
   cuts_.push_back({a, b, until, hold});
 }
 
+void Net::mute(const std::string& a, const std::string& b, Ms until, bool hold) {
+  cuts_.push_back({a, b, until, hold, true});
+}
+
+void Net::copies(const std::string& from, const std::string& path, std::vector<std::string> to, Ms until,
+                 Ms lateFrom, Ms lateTo) {
+  copies_.push_back({from, path, std::move(to), until, lateFrom, lateTo});
+}
+
+void Net::copy(const std::string& from, const HttpRequest& r) {
+  for (const auto& c : copies_) {
+    if (clock_.now() >= c.until || r.target != c.path || !matches(c.from, from)) continue;
+    auto late =
+        static_cast<Ms>(clock_.uniform(static_cast<double>(c.lateFrom), static_cast<double>(c.lateTo)));
+    clock_.after(late, [this, from, r, to = c.to[clock_.rng() % c.to.size()]] {
+      if (auto h = handlers_.find(to); h != handlers_.end()) h->second(from, r, [](HttpResponse) {});
+    });
+  }
+}
+
 const Net::Cut* Net::cutBetween(const std::string& x, const std::string& y) const {
   const Cut* longest = nullptr;
   for (const auto& c : cuts_) {
-    bool between = (matches(c.a, x) && matches(c.b, y)) || (matches(c.a, y) && matches(c.b, x));
+    bool between = (matches(c.a, x) && matches(c.b, y)) || (!c.oneWay && matches(c.a, y) && matches(c.b, x));
     if (c.until > clock_.now() && between && (!longest || c.until > longest->until)) longest = &c;
   }
   return longest;
@@ -44,6 +64,7 @@
     if (!std::exchange(*settled, true)) done(std::move(result));
   };
   clock_.after(deadline, [settle, sent] { settle({*sent ? Outcome::Unknown : Outcome::NotSent, {}}); });
+  if (!copies_.empty()) copy(from, r);
   bool lost = losing_.erase({from, to}) > 0;
   auto t = arrival(from, to);
   if (!t) return;  // the connection never comes about
--- a/tests/world/net.h
+++ b/tests/world/net.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "net/client.h"
 #include "world/clock.h"
@@ -30,6 +31,12 @@
 
   // Patterns: a party's name, or a prefix that ends in '*'. A cut is one between any of a and any of b.
   void cut(const std::string& a, const std::string& b, Ms until, bool hold);
+  // The same for what goes from a to b only: a is heard no more, and hears all.
+  void mute(const std::string& a, const std::string& b, Ms until, bool hold);
+  // Until then each request to that path by a party that matches comes a second time, to one of `to`, so
+  // late.
+  void copies(const std::string& from, const std::string& path, std::vector<std::string> to, Ms until,
+              Ms lateFrom, Ms lateTo);
   // The answer of the next request from a to b is lost, though the request is carried out.
   void loseAnswer(const std::string& from, const std::string& to) { losing_.insert({from, to}); }
 
@@ -38,7 +45,14 @@
     std::string a, b;
     Ms until;
     bool hold;
+    bool oneWay = false;
   };
+  struct Copies {
+    std::string from, path;
+    std::vector<std::string> to;
+    Ms until, lateFrom, lateTo;
+  };
+  void copy(const std::string& from, const HttpRequest& r);
   static bool matches(const std::string& pattern, const std::string& name);
   const Cut* cutBetween(const std::string& x, const std::string& y) const;
   // When something sent now arrives; nothing if never.
@@ -47,6 +61,7 @@
   Clock& clock_;
   std::map<std::string, Handler> handlers_;
   std::vector<Cut> cuts_;
+  std::vector<Copies> copies_;
   std::set<std::pair<std::string, std::string>> losing_;
 };
 
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -96,8 +96,10 @@
       if (w[0] == "up")
         for (int i = 0; i < number(w.at(3)); ++i) world_->cloud.addRunning(w.at(1), w.at(2));
       if (w[0] == "at") world_->clock.at(ms(w.at(1)), [this, w] { event(w); });
+      if (w[0] == "at") world_->checker.troublesEnd(over(w));
     }
     world_->run(until_);
+    world_->checker.judgeService();
     std::string rule;
     for (const auto& w : later_)
       if (w[0] == "expect" && w.at(1) == "broken") rule = w.at(2);
@@ -119,7 +121,9 @@
     auto set = [&](const char* k, double& v) {
       if (o.count(k)) v = number(o[k]);
     };
-    if (w[0] == "seed") {
+    if (w[0] == "seeds") {
+      // read by runScenario
+    } else if (w[0] == "seed") {
       d_.seed = static_cast<std::uint64_t>(number(w.at(1)));
     } else if (w[0] == "controllers") {
       d_.controllers = static_cast<unsigned>(number(w.at(1)));
@@ -195,6 +199,21 @@
       x.net.cut(from, to, now + ms(w.at(5)), w.at(6) == "hold");
     } else if (verb == "outage") {
       (w.at(3) == "store") ? x.store.outage(now + ms(w.at(4))) : x.cloud.outage(now + ms(w.at(4)));
+    } else if (verb == "mute") {
+      for (const auto& to : partiesOf(w.at(4))) x.net.mute(w.at(3), to, now + ms(w.at(5)), w.at(6) == "hold");
+    } else if (verb == "copies") {
+      std::vector<std::string> nodes;
+      for (unsigned n = 0; n < x.controllers.size(); ++n) nodes.push_back("node" + std::to_string(n));
+      x.net.copies(partyOf(w.at(3)), "/checkin", nodes, now + ms(w.at(4)), ms(w.at(5)), ms(w.at(6)));
+    } else if (verb == "reboot") {
+      if (auto h = machineOf(w.at(3)); !h.empty()) x.cloud.reboot(h, ms(w.at(4)));
+    } else if (verb == "ask-up") {
+      x.askUp(static_cast<unsigned>(number(w.at(3))));
+    } else if (verb == "ask-many") {
+      for (unsigned i = 0; i < number(w.at(4)); ++i)
+        x.askUnknown(jobId(std::to_string(static_cast<unsigned>(number(w.at(3))) + i)));
+    } else if (verb == "plant-silence") {
+      x.trace(jobId(w.at(3))).plantedSilence = true;
     } else if (verb == "refuse") {
       x.store.refuse(w.at(3), now + ms(w.at(4)));
     } else if (verb == "lose") {
@@ -218,6 +237,20 @@
       throw std::runtime_error("unknown event '" + verb + "'");
     }
   }
+  // "zone:a" is every machine that is up there now.
+  std::vector<std::string> partiesOf(const std::string& word) {
+    if (word.compare(0, 5, "zone:") == 0) return world_->cloud.inZone(word.substr(5));
+    return {partyOf(word)};
+  }
+  // When the trouble that an event brings is over; what never ends counts as over at once.
+  static Ms over(const Words& w) {
+    static const std::map<std::string, std::size_t> lasts{
+        {"crash", 4},  {"cut", 5},    {"mute", 5}, {"copies", 4}, {"reboot", 4},
+        {"outage", 4}, {"refuse", 4}, {"hang", 4}, {"noboot", 3}, {"nocapacity", 3}};
+    auto it = lasts.find(w.at(2));
+    Ms end = ms(w.at(1)) + (it == lasts.end() ? 0 : ms(w.at(it->second)));
+    return w.at(2) == "copies" ? end + ms(w.at(6)) : end;
+  }
   // In cuts, parties other than machines are named as they are.
   std::string partyOf(const std::string& word) {
     return word.compare(0, 3, "on:") == 0 || std::isdigit(static_cast<unsigned char>(word[0]))
@@ -267,6 +300,27 @@
       compare(static_cast<double>(x.cloud.rented()), w.at(2), number(w.at(3)));
     } else if (what == "writes") {
       compare(static_cast<double>(x.store.writes()), w.at(2), number(w.at(3)));
+    } else if (what == "epochs") {
+      compare(static_cast<double>(x.store.epochs()), w.at(2), number(w.at(3)));
+    } else if (what == "up") {
+      compare(x.upStatus[static_cast<unsigned>(number(w.at(2)))], "==", number(w.at(3)));
+    } else if (what == "begun") {
+      // expect begun 1 [to 5] by 30
+      auto first = static_cast<unsigned>(number(w.at(2))), last = first;
+      std::size_t at = 3;
+      if (w.at(at) == "to") last = static_cast<unsigned>(number(w.at(at + 1))), at += 2;
+      for (auto n = first; n <= last; ++n) {
+        auto begun = x.checker.begunAt(jobId(std::to_string(n)));
+        if (begun < 0 || static_cast<double>(begun) / 1000 > number(w.at(at + 1)))
+          complain("job " + std::to_string(n) + " began at " + std::to_string(begun) + " ms");
+      }
+    } else if (what == "looked-per-start") {
+      compare(perStart(&cherryloft::Counts::looked), w.at(2), number(w.at(3)));
+    } else if (what == "writes-per-start") {
+      double starts = 0;
+      for (const auto& c : x.controllers)
+        starts += c->node() ? static_cast<double>(c->node()->counts().starts) : 0;
+      compare(static_cast<double>(x.store.writes()) / std::max(starts, 1.0), w.at(2), number(w.at(3)));
     } else if (what == "largest-value") {
       compare(static_cast<double>(x.store.largestValue()), w.at(2), number(w.at(3)));
     } else {
@@ -274,6 +328,17 @@
     }
   }
 
+  double perStart(std::size_t cherryloft::Counts::*what) const {
+    double sum = 0, starts = 0;
+    for (const auto& c : world_->controllers)
+      if (c->node()) {
+        auto counts = c->node()->counts();
+        sum += static_cast<double>(counts.*what);
+        starts += static_cast<double>(counts.starts);
+      }
+    return sum / std::max(starts, 1.0);
+  }
+
   Deployment d_;
   Ms until_ = 60'000;
   std::vector<Words> later_;
@@ -283,10 +348,22 @@
 
 }  // namespace
 
+// "seeds 1 2 3" plays it once with each.
 std::vector<std::string> runScenario(std::istream& in) {
-  Scenario s;
-  s.read(in);
-  return s.run();
+  std::stringstream text;
+  text << in.rdbuf();
+  std::vector<std::string> seeds{""};
+  std::string line;
+  while (std::getline(text, line))
+    if (auto w = split(line); !w.empty() && w[0] == "seeds") seeds.assign(w.begin() + 1, w.end());
+  std::vector<std::string> complaints;
+  for (const auto& seed : seeds) {
+    Scenario s;
+    std::istringstream again(text.str() + (seed.empty() ? "" : "\nseed " + seed + "\n"));
+    s.read(again);
+    for (auto& c : s.run()) complaints.push_back(seed.empty() ? c : "seed " + seed + ": " + c);
+  }
+  return complaints;
 }
 
 }  // namespace world
--- a/tests/world/store.cpp
+++ b/tests/world/store.cpp
@@ -39,6 +39,11 @@
   });
 }
 
+std::uint64_t Store::epochs() const {
+  auto it = data_.find("share/epoch");
+  return it == data_.end() ? 0 : it->second.value.value("n", std::uint64_t{0});
+}
+
 void Store::expire() {
   clock_.after(20, [this] { expire(); });
   if (clock_.now() < outageUntil_) return;
--- a/tests/world/store.h
+++ b/tests/world/store.h
@@ -14,6 +14,8 @@
   void outage(Ms until);
   void refuse(const std::string& who, Ms until) { refused_[who] = until; }
   std::uint64_t writes() const { return writes_; }
+  // How many times ownership of anything changed hands.
+  std::uint64_t epochs() const;
   std::size_t largestValue() const { return largestValue_; }
 
  private:
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -1,5 +1,6 @@
 #include "world/world.h"
 
+#include <cmath>
 #include <cstdlib>
 
 namespace world {
@@ -74,7 +75,9 @@
   }
   cherryloft::WallTime wall() const override { return {1'700'000'000'000 + c_.clock_.now() + wallError_}; }
   void after(cherryloft::Duration d, std::function<void()> f) override {
-    c_.clock_.after(std::max<Ms>(0, static_cast<Ms>(static_cast<double>(d.count()) / rate_)),
+    // Never early: whoever waits for a moment that its clock has not reached would wait again at once, for
+    // ever.
+    c_.clock_.after(std::max<Ms>(0, static_cast<Ms>(std::ceil(static_cast<double>(d.count()) / rate_))),
                     living(std::move(f)));
   }
   void call(const cherryloft::Address& to, HttpRequest r, cherryloft::Duration deadline,
@@ -232,6 +235,7 @@
 void World::poll(const std::string& id) {
   request({"GET", "/v1/jobs/" + id, "", false}, 2000, [this, id](HttpResult h) {
     auto& t = traces[id];
+    if ((h.answered(200) || h.answered(404)) && !t.plantedSilence) checker.answered(id);
     if (h.answered(200)) {
       auto status = Json::parse(h.response.body)["status"].get<std::string>();
       checker.told(id, status);
@@ -270,6 +274,12 @@
   });
 }
 
+void World::askUp(unsigned n) {
+  net.call("user", nodeName(n), {"GET", "/up", "", false}, 1000, [this, n](HttpResult h) {
+    upStatus[n] = h.outcome == HttpResult::Outcome::Answered ? h.response.status : 0;
+  });
+}
+
 // A retry whose body would be refused now, of a job that was accepted.
 void World::resubmitBroken(const std::string& id) {
   HttpRequest r{"POST", "/v1/jobs", Json{{"name_id", id}, {"pieces", 0}}.dump(), false};
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -31,6 +31,7 @@
   void start();
   void crash(Ms backAfter);
   void frame(const cherryloft::mesh::Frame& f);
+  const cherryloft::Node* node() const { return node_.get(); }
 
  private:
   class SimIo;
@@ -57,6 +58,7 @@
     std::string status;
     Ms finalAt = -1;
     Ms cancelledAt = -1;
+    bool plantedSilence = false;  // answers about it are kept from the checker
   };
   // A user who submits and retries, then polls until the end and now and then after it.
   void submit(const std::string& id, const TaskNature& nature);
@@ -65,6 +67,7 @@
   void withdraw(const std::string& id);
   void askUnknown(const std::string& id);
   void resubmitBroken(const std::string& id);
+  void askUp(unsigned n);
   JobTrace& trace(const std::string& id) { return traces[id]; }
 
   Deployment deployment;
@@ -77,6 +80,7 @@
   Cloud cloud;
   std::vector<std::unique_ptr<Controller>> controllers;
   std::map<std::string, JobTrace> traces;
+  std::map<unsigned, int> upStatus;  // the last answer of each controller to a health check
 
  private:
   void request(HttpRequest r, Ms deadline, HttpDone done);
