--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -11,6 +11,7 @@
 constexpr Duration kListEvery{2'500};
 constexpr Duration kLoadStale{5'000};
 constexpr Duration kAskAgain{5'000};
+constexpr Duration kCedeAgain{20'000};
 constexpr Duration kFirstRefusal{8'000}, kMostRefusal{30'000};
 constexpr Duration kAdoptTogether{1'000};
 constexpr double kNeverUp = 3.0;  // boot times after which a starting machine is given up
@@ -422,9 +423,31 @@
     burst = std::max(burst, f.lendable.largestJob);
   }
   rentInTurn(fleets, targets);
+  cede(fleets);
   for (const auto& [k, f] : fleets) planShare(k, f, targets[k], spare - burst);
 }
 
+// A share with work and no machine at all, while the cloud has none to give: the largest share cedes one, so
+// that none of its teams starves.
+void Fleet::cede(const std::map<ShareNo, policy::ShareFleet>& fleets) {
+  auto now = io_.now();
+  for (const auto& [to, need] : fleets) {
+    bool has = std::any_of(need.hosts.begin(), need.hosts.end(), [](const auto& h) { return h.cores > 0; });
+    if (has || need.firm.waiting + need.lendable.waiting <= 0 || now - cededAt_[to] < kCedeAgain) continue;
+    auto rich = std::max_element(fleets.begin(), fleets.end(), [](const auto& a, const auto& b) {
+      return a.second.hosts.size() < b.second.hosts.size();
+    });
+    if (rich->second.hosts.size() < 2) continue;
+    for (const auto& h : loads_[rich->first].load.hosts) {
+      if (!h.usable || (h.spot && need.lendable.waiting <= 0)) continue;
+      cededAt_[to] = now;
+      log_->info("share {} cedes {} to share {}", rich->first.value, h.host, to.value);
+      out_.wish({rich->first.value, h.host, mesh::HostWish::Cede, to.value});
+      break;
+    }
+  }
+}
+
 // One rental for each share in turn, the most pressed first, so that the first in line does not take all
 // there is.
 void Fleet::rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -54,6 +54,7 @@
   void catchUp();
   void plan();
   void planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot);
+  void cede(const std::map<ShareNo, policy::ShareFleet>& fleets);
   void rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
                   const std::map<ShareNo, policy::Targets>& targets);
   std::vector<ShareNo> byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
@@ -106,6 +107,7 @@
   std::map<HostId, wire::HostRecord> waitingAdoption_;
   Time adoptAt_{};
   std::set<HostId> returned_;
+  std::map<ShareNo, Time> cededAt_;
   std::map<HostId, Time> asked_;  // machines whose owner was told to give them up
 };
 
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -126,6 +126,7 @@
   bool placeGang(Job& job);
   bool keepEmptying();
   bool anyRoom(const Job& job) const;
+  bool anyFree(const Job& job) const;
   bool fragile(const Job& job) const;
   bool tooSlow(const Job& job, const Host& h) const;
   bool holderCouldMakeRoom(const Job& job) const;
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration kDirectDeadline{2'000};
 constexpr Duration kAfterUnknown{2'000};
+constexpr Duration kAfterRelayed{10'000};
 constexpr Duration kAfterRefused{1'000};
 constexpr Duration kStopAgain{1'500};
 constexpr std::size_t kMostOrders = 300;  // keeps an answer's line under 64 KiB
@@ -93,7 +94,6 @@
   h.tenure = h.hint = r.tenure;
   h.serial = r.serial;
   h.lastHeard = now;
-  h.askedInVain = 0;
   // The answer to this report, and to any older one, renews its lease until then at the latest.
   h.aliveUntil = now + leaseAfterAnswer();
   h.seen = std::max(h.seen, r.token);
@@ -343,6 +343,7 @@
   auto report = r.answered(200) || r.answered(409) ? wire::parseReport(r.response.body) : std::nullopt;
   if (report && report->host == id) {
     if (report->token > h->token()) return;  // superseded; its check-ins will say so
+    h->askedInVain = 0;
     bool older = std::pair(report->tenure, report->serial) <= sent.known;
     if (older || report->tenure <= h->expiredTenure) reborn(*h, *report);
     apply(*h, *report, false);
@@ -364,7 +365,11 @@
   h->unsettled = sent.token;
   ++h->raises;
   h->attention = true;
-  h->directNotBefore = now + kAfterUnknown;
+  // Where only its check-ins get through, orders go in their answers: each lost command would shut it out of
+  // new work until it has acknowledged the raised token.
+  bool relayed =
+      h->askedInVain >= kAskedInVain && now - h->lastHeard < seconds(settings_.reportS * kLateReports);
+  h->directNotBefore = now + (relayed ? kAfterRelayed : kAfterUnknown);
   proven(*h, false);
   books_.reindex(*h);
 }
@@ -474,6 +479,12 @@
       h->emptying = false;
       books_.reindex(*h);
       return wake(true);
+    case mesh::HostWish::Cede:
+      if (h->replicaCores > 0) return;
+      h->leaving = true;
+      h->giveTo = static_cast<std::int32_t>(w.toShare);
+      books_.reindex(*h);
+      return;
     case mesh::HostWish::Empty:
       h->emptying = true;
       books_.reindex(*h);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -115,7 +115,7 @@
 }
 
 unsigned Scheduler::placeSome(Job& job, unsigned most) {
-  if (!books_.withinLimit(job)) return 0;
+  if (!books_.withinLimit(job) || !anyFree(job)) return 0;
   job.avoidSpot = fragile(job);
   auto turn = look(job);
   unsigned got = 0;
@@ -146,6 +146,14 @@
   return got;
 }
 
+// Some pool has a machine with cores enough. While none has, no holder need be looked at either.
+bool Scheduler::anyFree(const Job& job) const {
+  return std::any_of(books_.pools().begin(), books_.pools().end(), [&](const Pool& p) {
+    return !p.byRoom.empty() && p.byRoom.rbegin()->first.first >= job.spec->each.cores - 1e-6 &&
+           (!p.spot || job.spec->lendable) && job.spec->allowsType(p.type) && zoneAllows(job, p.zone);
+  });
+}
+
 // One more loss of a cheap machine and the job is late: it rather goes to ordinary ones, while it has hope.
 bool Scheduler::fragile(const Job& job) const {
   const auto& s = *job.spec;
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -131,6 +131,7 @@
     Move,    // to another share if it is idle
     Empty,   // takes no more work and goes once what ends by itself has ended, unless room gets short
     Keep,    // takes work again after all
+    Cede,    // to another share once what ends by itself has ended
   };
   std::uint32_t share = 0;
   std::string host;
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -98,12 +98,15 @@
   f.lendable.ramPerCore = 3;       // now memory decides: the small type holds few tasks
   EXPECT_EQ(rent(f, t, catalog, {})->offer.type, "l");
   f.lendable = {};
-  f.hosts = {{"l", Zone{"a"}, true, 32, true, 60},
-             {"l", Zone{"a"}, false, 32, true, 60},
-             {"s", Zone{"a"}, false, 8, true, 2}};
+  f.hosts = {{"l", Zone{"a"}, true, 32, true, 60, 0, 100},
+             {"l", Zone{"a"}, false, 32, true, 60, 0, 100},
+             {"s", Zone{"a"}, false, 8, true, 2, 0, 100}};
   auto go = letGo(f, targets(f, catalog, 0, 0), catalog, 10, 1000);
   ASSERT_TRUE(go);
   EXPECT_EQ(*go, 1u);
+  f.hosts[1].ageS = 30;  // the cloud charges a minute whatever happens
+  EXPECT_NE(letGo(f, targets(f, catalog, 0, 0), catalog, 10, 1000), std::optional<std::size_t>(1));
+  f.hosts[1].ageS = 100;
   f.firm.used = 40;  // all ordinary machines are needed
   EXPECT_NE(letGo(f, targets(f, catalog, 0, 0), catalog, 10, 1000), std::optional<std::size_t>(1));
 }
