--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -88,7 +88,7 @@
 }
 
 double Settings::patienceS() const {
-  double s = guaranteeWithinS ? 0.5 * *guaranteeWithinS : 1e9;
+  double s = guaranteeWithinS ? 0.75 * *guaranteeWithinS : 1e9;
   for (const auto& a : finishAims) s = std::min(s, 0.1 * a.withinS);
   return s < 1e9 ? s : 0;
 }
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -12,6 +12,7 @@
 constexpr double kPaidS = 55;       // the cloud charges a minute at least
 constexpr double kMostAtOnce = 50;  // machines that one request may ask for
 constexpr double kSurplus = 0.1;  // share of the total that must be left over before a machine empties itself
+constexpr double kSteadySurplus = 0.02;  // the same in a large fleet, and two machines
 
 struct Capacity {
   double ordinary = 0, spot = 0;
@@ -24,6 +25,14 @@
   return c;
 }
 
+// What must be left over before a machine is given up: a tenth in a small fleet, hardly more than two machines in
+// a large one, whose load is steadier.
+double surplus(double total, const Catalog& catalog) {
+  double largest = 0;
+  for (const auto& t : catalog) largest = std::max(largest, t.size.cores);
+  return std::min(kSurplus * total, kSteadySurplus * total + 2 * largest);
+}
+
 // Cores of a machine that such work can fill before its memory is full.
 double usableCores(const MachineType& t, const Work& w) {
   if (w.largestTask > t.size.cores + 1e-9 || w.largestTask * w.ramPerCore > t.size.ram + 1e-9) return 0;
@@ -138,7 +147,7 @@
     const auto* type = findType(catalog, h.type);
     if (h.spot || h.pinned || !h.counts || !type || h.ageS < minAgeS) continue;
     double missing = std::max(t.ordinary - (have.ordinary - h.cores),
-                              (1 + kSurplus) * t.total - (have.ordinary + have.spot - h.cores));
+                              t.total + surplus(t.total, catalog) - (have.ordinary + have.spot - h.cores));
     if (missing <= kEnough) continue;
     auto w = cheapest(f, f.firm, missing, false, catalog, unavailable);
     const auto* small = w ? findType(catalog, w->offer.type) : nullptr;
@@ -161,7 +170,7 @@
     const auto* type = findType(catalog, h.type);
     // Where it is wanted again, another would have to boot, and is paid for meanwhile. A dear machine is not
     // kept for that while there is plenty.
-    bool plenty = !h.spot && have.ordinary + have.spot - h.cores > (1 + kSurplus) * t.total;
+    bool plenty = !h.spot && have.ordinary + have.spot - h.cores > t.total + surplus(t.total, catalog);
     double keepS = plenty ? 0 : kIdleBoots * (type ? type->bootS : 0);
     if (minIdleS > 0 && (h.idleS < keepS || h.ageS < kPaidS)) continue;
     if (have.ordinary + have.spot - h.cores < t.total || (h.spot && h.cores > spareSpot)) continue;
@@ -184,7 +193,8 @@
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
     if (!h.counts || h.emptying || h.pinned || h.idleS >= 0 || h.ageS < minAgeS) continue;
-    if (have.ordinary + have.spot - h.cores < (1 + kSurplus) * (h.spot ? t.ample : t.total)) continue;
+    double keep = h.spot ? t.ample : t.total;
+    if (have.ordinary + have.spot - h.cores < keep + surplus(keep, catalog)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
     const auto* type = findType(catalog, h.type);
     // Dear machines with little on them first.
