--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -25,8 +25,8 @@
   return c;
 }
 
-// What must be left over before a machine is given up: a tenth in a small fleet, hardly more than two machines in
-// a large one, whose load is steadier.
+// What must be left over before a machine is given up: a tenth in a small fleet, hardly more than two
+// machines in a large one, whose load is steadier.
 double surplus(double total, const Catalog& catalog) {
   double largest = 0;
   for (const auto& t : catalog) largest = std::max(largest, t.size.cores);
