--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <thread>
 
 #include "actors/node.h"
 #include "mesh/transport.h"
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kIdlePerAddress = 6;
+constexpr unsigned kListenTries = 50;
+constexpr Duration kListenAgain{100};
 
 class LoopIo : public Io {
  public:
@@ -32,7 +35,7 @@
 };
 
 int listening(const Address& at) {
-  int fd = listenOn(at);
+  int fd = listenPatiently(at, kListenTries, [] { std::this_thread::sleep_for(kListenAgain); });
   if (fd < 0) throw SettingsError("cannot listen on " + at.text() + ": " + std::strerror(errno));
   return fd;
 }
--- a/src/net/tcp.cpp
+++ b/src/net/tcp.cpp
@@ -41,6 +41,14 @@
   return -1;
 }
 
+int listenPatiently(const Address& at, unsigned tries, const std::function<void()>& pause) {
+  for (;;) {
+    int fd = listenOn(at);
+    if (fd >= 0 || errno != EADDRINUSE || --tries == 0) return fd;
+    pause();
+  }
+}
+
 int connectTo(const Address& to) {
   int fd = newSocket();
   if (fd < 0) return -1;
--- a/tests/unit/loopback_test.cpp
+++ b/tests/unit/loopback_test.cpp
@@ -1,5 +1,6 @@
 // The server and the client over real loopback sockets.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include "net/client.h"
 #include "net/server.h"
@@ -79,3 +80,17 @@
   loop.run();
   EXPECT_EQ(result.outcome, HttpResult::Outcome::NotSent);
 }
+
+// A port that somebody else holds for a moment does not end the process.
+TEST_F(Loopback, AnAddressInUseIsTriedAgain) {
+  unsigned pauses = 0;
+  EXPECT_LT(listenPatiently(at, 3, [&] { ++pauses; }), 0);
+  EXPECT_EQ(pauses, 2u);
+  pauses = 0;
+  int got = listenPatiently(at, 5, [&] {
+    if (++pauses == 2) ::close(fd);
+  });
+  EXPECT_GE(got, 0);
+  EXPECT_EQ(pauses, 2u);
+  ::close(got);
+}
