--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -125,6 +125,7 @@
   bool directBusy = false, directAgain = false;
   unsigned askedInVain = 0;  // direct commands in a row without an answer
   Time directNotBefore{};
+  unsigned missedStarts = 0;  // check-ins in a row that lack what an answer to one before should have started
   std::optional<Time> unprovenSince;  // reports come, but none that shows our token (invariant 11)
   std::vector<wire::ReportedTask> reported;
   std::optional<Time> reclaimAt;
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -21,6 +21,7 @@
 // A report may come a quarter late; one that is later still is asked for.
 constexpr double kLateReports = 1.25;
 constexpr Duration kLate{1'000};
+constexpr unsigned kMissedStarts = 2;       // check-ins in a row that lack what an answer should have started
 constexpr unsigned kAskedInVain = 2;        // questions without an answer that make a silent machine doubtful
 constexpr Duration kNextController{6'500};  // a worker gives up on one controller and reports to the next
 constexpr double kDeafReports = 2.5;        // the same for one that we hear and that does not hear us
@@ -245,12 +246,22 @@
   std::set<std::pair<TaskId, Attempt>> present;
   for (const auto& t : r.tasks) present.insert({t.task, t.attempt});
   std::vector<TaskId> lost;
+  bool missed = false;
   for (const auto& [task, p] : h.placements) {
     if (present.count({task, p.attempt}) > 0 || !p.committed) continue;
+    missed |= checkIn && p.wanted && !p.shown && p.checkInStart.value > 0 && r.serial > p.checkInStart;
     bool never = p.restored && !p.sent;  // no start of a former owner can act under our token
     bool onItsWay = h.directBusy || !h.settled() || !checkIn || r.serial <= p.checkInStart;
     if (p.shown || never || (p.sent && !p.wanted && !onItsWay)) lost.push_back(task);
   }
+  // Even a refused start shows: the answer that carried it did not arrive. Once is bad luck; after that the
+  // machine must show a higher token before it gets more (invariant 11).
+  h.missedStarts = missed ? h.missedStarts + 1 : 0;
+  if (h.missedStarts >= kMissedStarts && h.settled()) {
+    h.unsettled = h.token();
+    ++h.raises;
+    proven(h, false);
+  }
   for (const auto& task : lost) {
     lose(h, task);
   }
