--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -78,7 +78,10 @@
     t.when[keys::share(taken_.share)] = taken_.stamp;
     std::size_t weight = 0;
     addTerminal(t, weight);
-    addPages(t, weight);
+    // A share that is to be handed back waits for nothing else: in a large one something is done at every
+    // moment. The next owner learns from reports what is done, as nothing is forgotten before it is written
+    // (invariant 8), and placements that were not written were not sent.
+    if (!givingTo_) addPages(t, weight);
     auto& pages = books_.pages();
     if (auto n = pages.spare({flight_->pages.begin(), flight_->pages.end()});
         n && !t.apply.empty() && t.apply.size() < settings_.txnOps) {
