--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -4,10 +4,6 @@
 
 namespace cherryloft {
 
-bool ImageCache::has(const ImageId& image) const {
-  return std::any_of(recent_.begin(), recent_.end(), [&](const auto& e) { return e.first == image; });
-}
-
 std::vector<ImageId> ImageCache::touch(const ImageId& image, double gb) {
   recent_.remove_if([&](const auto& e) { return e.first == image; });
   recent_.emplace_front(image, gb);
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -80,7 +80,6 @@
 class ImageCache {
  public:
   explicit ImageCache(double capacityGb = 0) : capacity_(capacityGb) {}
-  bool has(const ImageId& image) const;
   // Returns what had to go for it.
   std::vector<ImageId> touch(const ImageId& image, double gb);
 
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -263,7 +263,7 @@
   std::vector<HostId> told;
   t.when[keys::kLeader] = dir_.leader->stamp;
   for (const auto& [key, changed] : byGroup) {
-    if (t.apply.size() >= settings_.txnOps || weight + settings_.valueBytes > 48 * 1024) break;
+    if (t.apply.size() >= settings_.txnOps || weight + settings_.valueBytes > wire::kMostWeight) break;
     auto group = dir_.group(key);
     if (group.members.empty()) continue;
     t.when[key] = dir_.hosts.at(group.members.front().id).stamp;
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -259,7 +259,7 @@
   for (const auto& [_, j] : books_.jobs()) open += j.open(), waiting += j.waiting.size();
   auto n = spans_.counts.starts - accounted_.starts, looked = spans_.counts.looked - accounted_.looked;
   accounted_ = spans_.counts;
-  auto line = fmt::format(
+  return fmt::format(
       "share {}: {} jobs, {} tasks waiting, {} machines ({} open), {} pages; {} starts in {} rounds, widest "
       "{}, "
       "{} machines looked at, {} stopped for others; ms to placed {}; to committed {}; to shown {}",
@@ -267,7 +267,6 @@
       books_.pages().count(), n, std::exchange(spans_.rounds, 0), std::exchange(spans_.widest, 0), looked,
       std::exchange(spans_.evicted, 0), spans_.toPlaced.take(), spans_.toCommitted.take(),
       spans_.toShown.take());
-  return line;
 }
 
 // Zones that the job's next task may go to, if no machine in any of them could ever take it.
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -79,6 +79,8 @@
   // False if the report is not newer than what is known, or is not proven to be of the present.
   bool apply(Host& h, const wire::Report& r, bool checkIn);
   void proven(Host& h, bool yes);
+  static void raiseToken(Host& h);
+  bool late(const Host& h) const;
   void reborn(Host& h, const wire::Report& r);
   void newTenure(Host& h);
   void lose(Host& h, const TaskId& task);
@@ -135,6 +137,7 @@
   void gangBroken(Job& job);
   bool allowed(const Job& job, const Host& h) const;
   bool allowedKind(const Job& job, const Host& h) const;
+  bool allowedIn(const Job& job, const Pool& p) const;
   bool better(const Job& job, const Host& a, const Host& b) const;
   // What one turn of a job looked up: holders in order, and the estimates for the draw.
   struct Turn {
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -5,7 +5,7 @@
 
 namespace cherryloft {
 namespace {
-constexpr std::size_t kMostWeight = 48 * 1024;  // of a transaction, whose body may have 64 KiB
+using wire::kMostWeight;
 constexpr std::size_t kKeyWeight = 200;
 }  // namespace
 
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -103,8 +103,7 @@
   bool first = !h.heard;
   if (!first && dropped && checkIn) {
     // It lost its lease although it was answered. It gets new work once it shows that it hears us.
-    h.unsettled = h.token();
-    ++h.raises;
+    raiseToken(h);
   }
   proven(h, h.settled());
   if (!first && !wasStale && !dropped && !h.attention && r.tasks == h.reported && !r.reclaimInS) {
@@ -140,6 +139,17 @@
   return true;
 }
 
+// What was sent under the token so far has no effect once the worker has seen the next (invariant 3).
+void Scheduler::raiseToken(Host& h) {
+  h.unsettled = h.token();
+  ++h.raises;
+}
+
+// Its report should have been here by now.
+bool Scheduler::late(const Host& h) const {
+  return io_.now() - h.lastHeard > seconds(settings_.reportS * kLateReports) + kLate;
+}
+
 // Reports come; do they show that our answers arrive (invariant 11)?
 void Scheduler::proven(Host& h, bool yes) {
   if (yes)
@@ -158,8 +168,7 @@
   h.seen = r.token;
   h.expiredTenure = Tenure{};
   h.reported.clear();
-  h.unsettled = h.token();
-  ++h.raises;
+  raiseToken(h);
   for (auto& [_, p] : h.placements) {
     if (p.shown && p.phase == TaskPhase::Running) --p.job->running;
     p.shown = p.restored = false;
@@ -258,8 +267,7 @@
   // machine must show a higher token before it gets more (invariant 11).
   h.missedStarts = missed ? h.missedStarts + 1 : 0;
   if (h.missedStarts >= kMissedStarts && h.settled()) {
-    h.unsettled = h.token();
-    ++h.raises;
+    raiseToken(h);
     proven(h, false);
   }
   for (const auto& task : lost) {
@@ -327,9 +335,8 @@
   auto list = orders(h, nullptr);
   // A machine not heard from, or not of late, is asked for a report. Few at a time: their own reports come
   // meanwhile, and are to be answered first.
-  bool late = now - h.lastHeard > seconds(settings_.reportS * kLateReports) + kLate;
   bool ask = list.empty();
-  if (ask && h.heard && !late && !h.directAgain) return;
+  if (ask && h.heard && !late(h) && !h.directAgain) return;
   if (ask && asking_ >= kMostAsking) return;
   Address to;
   try {
@@ -442,8 +449,7 @@
     h.stale = true;
     books_.reindex(h);
   }
-  bool late = now - h.lastHeard > seconds(settings_.reportS * kLateReports) + kLate;
-  if (!h.heard || late) h.attention = true;
+  if (!h.heard || late(h)) h.attention = true;
 }
 
 // Silent though it was asked, or heard without a sign that it hears us (invariant 11).
@@ -561,7 +567,6 @@
   struct Change {
     std::vector<Host*> back;
     std::map<std::int32_t, std::vector<Host*>> moved;
-    bool addresses = false;
   };
   std::map<std::string, Change> changes;
   for (auto& [_, h] : books_.hosts()) {
@@ -573,7 +578,7 @@
     else if (h.heard && h.address != h.known.record.address) {
       // Those of a group come up one after the other.
       if (addressSince_ == Time{}) addressSince_ = now;
-      if (now - addressSince_ >= kAddressesTogether) changes[h.known.group].addresses = true;
+      if (now - addressSince_ >= kAddressesTogether) changes[h.known.group];
     }
   }
   if (changes.empty()) return;
@@ -584,7 +589,7 @@
   Epoch token{dir_.epoch.value + 1};
   for (const auto& [key, c] : changes) {
     if (t.apply.size() + 2 + c.moved.size() > settings_.txnOps ||
-        weight + 2 * settings_.valueBytes > 48 * 1024)
+        weight + 2 * settings_.valueBytes > wire::kMostWeight)
       break;
     auto known = dir_.groups.find(key);
     auto group = dir_.group(key);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -150,7 +150,7 @@
 bool Scheduler::anyFree(const Job& job) const {
   return std::any_of(books_.pools().begin(), books_.pools().end(), [&](const Pool& p) {
     return !p.byRoom.empty() && p.byRoom.rbegin()->first.first >= job.spec->each.cores - 1e-6 &&
-           (!p.spot || job.spec->lendable) && job.spec->allowsType(p.type) && zoneAllows(job, p.zone);
+           allowedIn(job, p);
   });
 }
 
@@ -205,8 +205,7 @@
 // Whether some machine could take the job's next task now, whatever the draw says.
 bool Scheduler::anyRoom(const Job& job) const {
   for (const auto& p : books_.pools()) {
-    if ((p.spot && !job.spec->lendable) || !job.spec->allowsType(p.type) || !zoneAllows(job, p.zone))
-      continue;
+    if (!allowedIn(job, p)) continue;
     auto at = p.byRoom.lower_bound({job.spec->each.cores - 1e-6, 0});
     for (unsigned looked = 0; at != p.byRoom.end() && looked < settings_.tuning.sample; ++at, ++looked)
       if (job.spec->each.fitsIn(at->second->free()) && allowed(job, *at->second)) return true;
@@ -273,6 +272,12 @@
   return h.open() && zoneAllows(job, h.zone()) && allowedKind(job, h);
 }
 
+// Type, kind and zone, for all machines of a pool at once.
+bool Scheduler::allowedIn(const Job& job, const Pool& p) const {
+  const auto& s = *job.spec;
+  return s.allowsType(p.type) && (!p.spot || (s.lendable && !job.avoidSpot)) && zoneAllows(job, p.zone);
+}
+
 bool Scheduler::allowedKind(const Job& job, const Host& h) const {
   const auto& s = *job.spec;
   if (!s.allowsType(h.known.record.type) || (h.spot() && (!s.lendable || job.avoidSpot))) return false;
@@ -351,8 +356,7 @@
   };
   std::vector<Walk> walks;
   for (const auto& p : books_.pools()) {
-    if ((p.spot && (!spec.lendable || job.avoidSpot)) || !spec.allowsType(p.type) || !zoneAllows(job, p.zone))
-      continue;
+    if (!allowedIn(job, p)) continue;
     auto at = p.byRoom.lower_bound({spec.each.cores - 1e-6, 0});
     if (at != p.byRoom.end()) walks.push_back({&p, at});
   }
--- a/src/actors/store.cpp
+++ b/src/actors/store.cpp
@@ -168,7 +168,7 @@
     auto c = std::move(creations_.front());
     creations_.pop_front();
     weight += wire::weightOf(c.write);
-    bool full = batch->size() >= most || (!batch->empty() && weight > 48 * 1024);
+    bool full = batch->size() >= most || (!batch->empty() && weight > wire::kMostWeight);
     if (full || t.when.count(c.write.key) > 0) {  // a key may stand in a transaction once
       later.push_back(std::move(c));
       continue;
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -27,7 +27,8 @@
 };
 
 std::string encodeTransaction(const Transaction& t);
-std::size_t weightOf(const Write& w);  // bytes it adds to a transaction, about
+std::size_t weightOf(const Write& w);                  // bytes it adds to a transaction, about
+inline constexpr std::size_t kMostWeight = 48 * 1024;  // of a transaction, whose body may have 64 KiB
 
 struct KeyPage {
   std::vector<KeyChange> entries;
