Fix: every answer that prolongs a lease ends what is aborted in it (invariant 16)

Cause: an owner in its grace, and a new one that had not loaded its share, answered check-ins with no orders at all. Where a kill could not be delivered between the confirmation and the end of the hold (the machine hung, or heard only a sibling) and the state service was then lost to all, such an answer prolonged the lease of a cancelled task from a moment that could lie after the confirmation: TTL + grace + lease counted from the last renewal, not from there.

Now each answer in any role names the tasks of aborted jobs, and nobody answers who may not know of a cancellation older than cancel_s - lease_s - margin (Settings::blindFor): an owner not loaded stops so long after its mirror of job/ was last fresh; a deputy must have seen the share's latest cancellation, which the owner's pulse names. Cancellations are told to all siblings; nothing counts on that. Where cancel_s is hardly above lease_s there is no grace, said once at `error`, and the controller serves on; before, it ended.

Unit tests of the bound over settings of many shapes and of the deputy's knowledge. A new word `vary` plays a scenario once more for each value.

--- a/src/actors/deputy.cpp
+++ b/src/actors/deputy.cpp
@@ -37,15 +37,15 @@
   allowedUntil_ = Time{};
   if (echoes && p.ownsForMs > 0) {
     allowedUntil_ = time(p.echo) + std::min(Duration{p.ownsForMs} + grace_, most_);
-    for (const auto& s : p.owns) shares_[ShareNo{s.share}] = Epoch{s.epoch};
+    for (const auto& s : p.owns) shares_[ShareNo{s.share}] = {Epoch{s.epoch}, Stamp{s.cancelled}};
   }
   return true;
 }
 
-bool DeputyLink::mayAnswer(ShareNo share, Epoch epoch, bool hears, Time now) const {
+bool DeputyLink::mayAnswer(ShareNo share, Epoch epoch, Stamp seen, bool hears, Time now) const {
   if (hears || now >= allowedUntil_ || now - lastQuiet_ < kQuiet + kDrift) return false;
   auto it = shares_.find(share);
-  return it != shares_.end() && it->second == epoch;
+  return it != shares_.end() && it->second.epoch == epoch && it->second.cancelled <= seen;
 }
 
 Time DeputyLink::mayHaveAnswered(Time now) const {
--- a/src/actors/deputy.h
+++ b/src/actors/deputy.h
@@ -1,7 +1,8 @@
 // Answering for a sibling that is out of reach (invariant 15). A controller that is cut off together with
 // workers of another's shares may answer their check-ins, without orders, for as long as that other itself
 // might after losing its hold; and the other, or whoever owns the share after it, counts those workers'
-// leases from the last moment at which that may have happened. One link holds both sides' knowledge of one
+// leases from the last moment at which that may have happened. It must have seen every cancellation that the
+// other had committed when it said its last word (invariant 16). One link holds both sides' knowledge of one
 // sibling. No I/O and no clock of its own.
 #pragma once
 
@@ -15,7 +16,7 @@
 
 class DeputyLink {
  public:
-  // most: the life of a hold and the grace after it.
+  // most: how long it may answer after a word of the owner (Settings::blindFor).
   DeputyLink(Time started, Duration grace, Duration most) : started_(started), grace_(grace), most_(most) {
     lastQuiet_ = started;
   }
@@ -25,8 +26,9 @@
   // False if the pulse is older than one that came before.
   bool came(const mesh::Pulse& p, Time now);
 
-  // As its deputy: whether we may answer a worker of that share that holds a token of that epoch.
-  bool mayAnswer(ShareNo share, Epoch epoch, bool hears, Time now) const;
+  // As its deputy: whether we may answer a worker of that share that holds a token of that epoch, when we
+  // know of all jobs what was committed up to `seen`.
+  bool mayAnswer(ShareNo share, Epoch epoch, Stamp seen, bool hears, Time now) const;
   void answered(Time now) { lastAnswer_ = now; }
 
   // As an owner: the latest moment until now at which the sibling may have answered a worker of ours.
@@ -40,7 +42,11 @@
 
   // As its deputy.
   Time lastQuiet_{};  // our last word to it that we answer nobody in its name
-  std::map<ShareNo, Epoch> shares_;
+  struct Word {
+    Epoch epoch;
+    Stamp cancelled;
+  };
+  std::map<ShareNo, Word> shares_;
   Time allowedUntil_{};
   std::optional<Time> lastAnswer_;
 
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -8,6 +8,8 @@
 namespace cherryloft {
 namespace {
 
+constexpr std::size_t kMostEnds = 400;  // keeps an answer's line under 64 KiB; the next answer names the rest
+
 bool under(const std::string& key, const std::string& prefix) {
   return key.compare(0, prefix.size(), prefix) == 0;
 }
@@ -84,6 +86,24 @@
   return r;
 }
 
+std::vector<wire::Order> Directory::endsOfAborted(const wire::Report& r) const {
+  std::vector<wire::Order> ends;
+  for (const auto& t : r.tasks) {
+    if (ends.size() >= kMostEnds) break;
+    auto job = jobs.find(t.task.job);
+    if (job != jobs.end() && job->second.status == JobStatus::Aborted && t.phase != wire::TaskPhase::Exited)
+      ends.push_back({wire::Order::Verb::Stop, t.task, t.attempt, 0});
+  }
+  return ends;
+}
+
+void Directory::aborted(const JobId& id, Stamp stamp) {
+  auto it = jobs.find(id);
+  if (it == jobs.end() || it->second.status != JobStatus::Open || it->second.stamp > stamp) return;
+  it->second.status = JobStatus::Aborted;
+  it->second.stamp = stamp;
+}
+
 std::vector<HostId> Directory::apply(const wire::KeyChange& c, const Log& log) {
   if (under(c.key, keys::kJobs)) {
     JobId id{c.key.substr(keys::kJobs.size())};
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -10,6 +10,7 @@
 #include "config/settings.h"
 #include "log/log.h"
 #include "wire/store.h"
+#include "wire/workers.h"
 
 namespace cherryloft {
 
@@ -53,6 +54,11 @@
 
   // Takes in one change; unreadable records are logged and left out. Names the machines it touched.
   std::vector<HostId> apply(const wire::KeyChange& c, const Log& log);
+  // What ends the tasks that a report shows of jobs that are called off. Any answer that prolongs a worker's
+  // lease carries it, whoever gives that answer and in whatever role (invariant 16).
+  std::vector<wire::Order> endsOfAborted(const wire::Report& r) const;
+  // A sibling's word that the job was called off: committed under that stamp, and final.
+  void aborted(const JobId& id, Stamp stamp);
   // A machine group as it is known, to be written anew with a change.
   wire::GroupRecord group(const std::string& key) const;
 
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -38,6 +38,11 @@
 void Node::start() {
   for (const auto& prefix : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
     store_.mirror(prefix, [this](const wire::KeyChange& c) { changed(c); });
+  if (settings_.grace() == Duration{0})
+    log_->error(
+        "cancel_s leaves {} s after lease_s: no check-ins are answered without a hold, so that work ends "
+        "where the state service is away for longer than lease_s",
+        settings_.cancelS - settings_.leaseS);
   membership_.start();
   peers_.start();
   fleet_.start();
@@ -48,7 +53,10 @@
   mesh::Pulse p;
   p.serving = serving();
   p.ownsForMs = std::max((membership_.standing().ownsUntil - io_.now()).count(), std::int64_t{0});
-  for (const auto& [k, epoch] : membership_.owned()) p.owns.push_back({k.value, epoch.value});
+  // A share that is not loaded lends nothing: what its former owner cancelled is not known yet.
+  for (const auto& [k, epoch] : membership_.owned())
+    if (auto s = schedulers_.find(k); s != schedulers_.end() && s->second->loaded())
+      p.owns.push_back({k.value, epoch.value, s->second->lastAborted().value});
   return p;
 }
 
@@ -153,6 +161,8 @@
   j.status = s;
   j.stamp = stamp;
   if (s == JobStatus::Done) j.spec.reset();
+  // Whoever answers workers should know before the user does; that the bound holds does not hang on it.
+  if (s == JobStatus::Aborted) peers_.sendAll(mesh::JobAborted{id.value, stamp.value});
 }
 
 void Node::sendLoad(const mesh::ShareLoad& l) {
@@ -190,6 +200,8 @@
     if (auto report = wire::parseReport(seen->body)) fleet_.hostSeen(*report);
   } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
     fleet_.load(*load);
+  } else if (const auto* over = std::get_if<mesh::JobAborted>(&p)) {
+    dir_.aborted(JobId{over->job}, Stamp{over->stamp});
   } else if (const auto* w = std::get_if<mesh::HostWish>(&p)) {
     if (auto* s = scheduler(ShareNo{w->share})) s->wish(*w);
   }
@@ -300,7 +312,7 @@
   if (share == dir_.shares.end() || share->second.record.owner != owner) return false;
   auto epoch = share->second.record.epoch;
   return epochOf(r.token) == std::max(host->second.record.token, epoch) &&
-         peers_.deputyFor(peers_.numberOf(owner), share->first, epoch);
+         peers_.deputyFor(peers_.numberOf(owner), share->first, epoch, store_.revisionOf(keys::kJobs));
 }
 
 // The owner of the worker's share is out of reach. Cut off together with the worker we keep its lease up for
@@ -308,14 +320,7 @@
 HttpResponse Node::answerFor(const NodeId& owner, const wire::Report& r) {
   if (!mayAnswerFor(owner, r)) return wire::userError(503, "the owner does not answer");
   peers_.answeredFor(peers_.numberOf(owner));
-  std::vector<wire::Order> ends;
-  for (const auto& t : r.tasks) {
-    auto job = dir_.jobs.find(t.task.job);
-    if (job != dir_.jobs.end() && job->second.status == JobStatus::Aborted &&
-        t.phase != wire::TaskPhase::Exited)
-      ends.push_back({wire::Order::Verb::Stop, t.task, t.attempt, 0});
-  }
-  return {200, wire::encodeOrders(r.token, ends), false, 0};
+  return {200, wire::encodeOrders(r.token, dir_.endsOfAborted(r)), false, 0};
 }
 
 }  // namespace cherryloft
--- a/src/actors/peers.cpp
+++ b/src/actors/peers.cpp
@@ -15,7 +15,7 @@
       out_(std::move(out)),
       self_(settings.homeShare(settings.node).value),
       life_(static_cast<std::uint64_t>(io.wall().value)) {
-  DeputyLink link(io.now(), settings.grace(), settings.grace() + settings.holdTtl());
+  DeputyLink link(io.now(), settings.grace(), settings.blindFor());
   neighbours_.assign(settings.size(), Neighbour{{}, {}, {}, link});
   // Answers to asks of an earlier process must not match ours.
   askCount_ = life_ << 20;
@@ -68,8 +68,8 @@
 
 bool Peers::reaches(std::uint32_t n) const { return hears(n) || via(n); }
 
-bool Peers::deputyFor(std::uint32_t n, ShareNo share, Epoch epoch) const {
-  return neighbours_[n].link.mayAnswer(share, epoch, hears(n), io_.now());
+bool Peers::deputyFor(std::uint32_t n, ShareNo share, Epoch epoch, Stamp seen) const {
+  return neighbours_[n].link.mayAnswer(share, epoch, seen, hears(n), io_.now());
 }
 
 Time Peers::answeredElsewhere() const {
@@ -91,6 +91,11 @@
   if (n < neighbours_.size() && n != self_) send(n, std::move(p));
 }
 
+void Peers::sendAll(const mesh::Payload& p) {
+  for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
+    if (n != self_) send(n, p);
+}
+
 std::uint64_t Peers::expect(Duration deadline, Answered done) {
   auto id = ++askCount_;
   asks_[id] = std::move(done);
--- a/src/actors/peers.h
+++ b/src/actors/peers.h
@@ -24,6 +24,7 @@
   void frame(const mesh::Frame& f);
   void send(std::uint32_t to, mesh::Payload p);
   void send(const NodeId& to, mesh::Payload p);
+  void sendAll(const mesh::Payload& p);
   // The payload's id is set here.
   template <class Ask>
   void ask(const NodeId& to, Ask a, Duration deadline, Answered done) {
@@ -38,8 +39,9 @@
   // It is heard, or a sibling that is hears it.
   bool reaches(std::uint32_t n) const;
   bool reaches(const NodeId& n) const { return reaches(numberOf(n)); }
-  // Whether a worker of a share of that sibling's, with a token of that epoch, may be answered in its name.
-  bool deputyFor(std::uint32_t n, ShareNo share, Epoch epoch) const;
+  // Whether a worker of a share of that sibling's, with a token of that epoch, may be answered in its name,
+  // when we know of all jobs what was committed up to `seen`.
+  bool deputyFor(std::uint32_t n, ShareNo share, Epoch epoch, Stamp seen) const;
   void answeredFor(std::uint32_t n) { neighbours_[n].link.answered(io_.now()); }
   // The latest moment at which any sibling may have answered a worker in our name.
   Time answeredElsewhere() const;
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -69,6 +69,8 @@
   for (const auto& [id, known] : dir_.jobs)
     if (known.share == taken_.share && known.status == JobStatus::Open && known.spec)
       books_.addJob(id, known).since = now;
+    else if (known.share == taken_.share && known.status == JobStatus::Aborted)
+      lastAborted_ = std::max(lastAborted_, known.stamp);
   auto prefix = keys::runs(taken_.share);
   std::map<TaskId, Restored> placed;
   for (const auto& e : runs.entries) {
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -52,6 +52,8 @@
   bool withdraw(const JobId& id, std::function<void(JobStatus)> done);
   bool loaded() const { return loaded_; }
   ShareNo share() const { return taken_.share; }
+  // The revision of the share's latest cancellation.
+  Stamp lastAborted() const { return lastAborted_; }
   // What was decided since the last call, for operators.
   std::string account();
   const Counts& counts() const { return spans_.counts; }
@@ -92,6 +94,7 @@
   void ended(Host& h, const wire::ReportedTask& t);
   void absent(Host& h, const wire::Report& r, bool checkIn);
   std::vector<wire::Order> orders(Host& h, const wire::Report* checkIn);
+  static void addOrders(std::vector<wire::Order>& list, std::vector<wire::Order> more);
   void strayOrders(Host& h, std::vector<wire::Order>& out);
   void direct(Host& h);
   // What a direct command went out with.
@@ -182,6 +185,7 @@
 
   Books books_;
   bool loaded_ = false;
+  Stamp lastAborted_;
   Time loadStarted_{};
   std::uint64_t attempts_ = 0;
   std::optional<NodeId> givingTo_;
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -176,6 +176,7 @@
     out_.ended(id, status, r.revision);
     answerWithdrawers(*j, status);
     if (status == JobStatus::Aborted) {
+      lastAborted_ = std::max(lastAborted_, r.revision);
       j->waiting.clear();
       std::set<HostId> on;
       for (std::uint32_t i = 0; i < j->tasks.size(); ++i)
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -28,12 +28,15 @@
   auto now = io_.now();
   if (!standing_.answers(now)) return {503, R"({"error":"not entitled"})"};
   if (!loaded_) {
-    // Its lease must not run out while we load; build() counts the time from its own, later, moment.
+    // Its lease must not run out while we load; build() counts the time from its own, later, moment. What the
+    // former owner cancelled may be unknown to us, for so long only (invariant 16).
+    if (now >= store_.freshAt(keys::kJobs) + settings_.blindFor())
+      return {503, R"({"error":"the share is not loaded"})"};
     auto known = dir_.hosts.find(r.host);
     if (known == dir_.hosts.end()) return {503, R"({"error":"unknown machine"})"};
     auto base = tokenOf(std::max(known->second.record.token, taken_.epoch));
     if (r.token > base) return {421, "{}"};
-    return {200, wire::encodeOrders(base, {})};
+    return {200, wire::encodeOrders(base, dir_.endsOfAborted(r))};
   }
   Host* h = books_.host(r.host);
   if (!h) return {503, R"({"error":"unknown machine"})"};
@@ -47,12 +50,22 @@
   if (!h) return {503, R"({"error":"unknown machine"})"};
   // Until it has acknowledged our token, a former owner may be answering it as well (invariant 6).
   if (!h->heard) h->aliveUntil = std::max(h->aliveUntil, now + leaseAfterAnswer());
-  std::vector<Order> list;
-  // A late copy gets no orders: whoever waits for its answer, the present machine does not (invariant 12).
-  if (owns() && news) list = orders(*h, &r);
+  // What is aborted ends with every answer: its lease must not go on without (invariant 16).
+  auto list = dir_.endsOfAborted(r);
+  // A late copy gets no other orders: whoever waits for its answer, the present machine does not (invariant
+  // 12).
+  if (owns() && news) addOrders(list, orders(*h, &r));
   return {200, wire::encodeOrders(h->token(), list)};
 }
 
+// No task is named twice.
+void Scheduler::addOrders(std::vector<Order>& list, std::vector<Order> more) {
+  std::set<std::pair<TaskId, Attempt>> named;
+  for (const auto& o : list) named.insert({o.task, o.attempt});
+  for (auto& o : more)
+    if (named.count({o.task, o.attempt}) == 0) list.push_back(std::move(o));
+}
+
 Duration Scheduler::leaseAfterAnswer() const { return seconds(settings_.leaseS * 1.002 + 1.0); }
 
 bool Scheduler::apply(Host& h, const wire::Report& r, bool checkIn) {
--- a/src/actors/store.cpp
+++ b/src/actors/store.cpp
@@ -283,9 +283,25 @@
   });
 }
 
+const StateStore::Mirror* StateStore::find(const std::string& prefix) const {
+  auto it =
+      std::find_if(mirrors_.begin(), mirrors_.end(), [&](const auto& m) { return m->prefix == prefix; });
+  return it == mirrors_.end() ? nullptr : it->get();
+}
+
+Time StateStore::freshAt(const std::string& prefix) const {
+  const auto* m = find(prefix);
+  return m ? m->fresh : Time{};
+}
+
+Stamp StateStore::revisionOf(const std::string& prefix) const {
+  const auto* m = find(prefix);
+  return m ? m->revision : Stamp{};
+}
+
 void StateStore::readAll(Mirror& m) {
   auto round = ++m.round;
-  list(Urgency::Control, m.prefix, [this, &m, round](ListResult r) {
+  list(Urgency::Control, m.prefix, [this, &m, round, asked = io_.now()](ListResult r) {
     if (round != m.round) return;
     if (!r.ok) return retry(m);
     m.backoff = Duration{0};
@@ -308,6 +324,7 @@
       }
     }
     m.revision = r.revision;
+    m.fresh = std::max(m.fresh, asked);
     m.read = true;
     follow(m);
   });
@@ -318,13 +335,13 @@
   std::string path = "/follow?prefix=" + m.prefix + "&since=" + std::to_string(m.revision.value) +
                      "&wait_ms=" + std::to_string(kFollow.count());
   enqueue(Urgency::Control, "follow", {"GET", path, "", false}, 0, kFollowDeadline,
-          [this, &m, round](HttpResult r) {
+          [this, &m, round, asked = io_.now()](HttpResult r) {
             if (round != m.round) return;
-            followed(m, r);
+            followed(m, asked, r);
           });
 }
 
-void StateStore::apply(Mirror& m, const wire::KeyPage& news) {
+void StateStore::apply(Mirror& m, Time asked, const wire::KeyPage& news) {
   for (const auto& e : news.entries) {
     if (e.value) {
       auto& stamp = m.known[e.key];
@@ -338,9 +355,10 @@
     m.changed(e);
   }
   m.revision = std::max(m.revision, news.revision);
+  m.fresh = std::max(m.fresh, asked);
 }
 
-void StateStore::followed(Mirror& m, const HttpResult& r) {
+void StateStore::followed(Mirror& m, Time asked, const HttpResult& r) {
   if (r.answered(410)) {
     m.read = false;
     return readAll(m);
@@ -348,7 +366,7 @@
   auto news = r.answered(200) ? wire::parseNews(r.response.body) : std::nullopt;
   if (!news) return retry(m);
   m.backoff = Duration{0};
-  apply(m, *news);
+  apply(m, asked, *news);
   follow(m);
 }
 
@@ -360,7 +378,7 @@
     std::string path =
         "/follow?prefix=" + m.prefix + "&since=" + std::to_string(m.revision.value) + "&wait_ms=0";
     enqueue(Urgency::Control, "follow", {"GET", path, "", false}, 0, Duration{2'000},
-            [this, &m, done = std::move(done)](HttpResult r) {
+            [this, &m, asked = io_.now(), done = std::move(done)](HttpResult r) {
               auto news = r.answered(200) ? wire::parseNews(r.response.body) : std::nullopt;
               if (!news) {
                 if (r.answered(410) && m.read) {
@@ -369,7 +387,7 @@
                 }
                 return done(false);
               }
-              apply(m, *news);
+              apply(m, asked, *news);
               done(true);
             });
     return;
--- a/src/actors/store.h
+++ b/src/actors/store.h
@@ -75,6 +75,10 @@
   bool mirrored() const;  // every prefix was read once
   // Calls done once the mirror of the prefix shows at least all that was committed before this call.
   void catchUp(const std::string& prefix, std::function<void(bool)> done);
+  // All that was committed under the prefix before that moment shows in its mirror.
+  Time freshAt(const std::string& prefix) const;
+  // The mirror of the prefix shows every change up to that revision.
+  Stamp revisionOf(const std::string& prefix) const;
   // What was asked of the service, by purpose, since the last call.
   struct Tally {
     std::map<std::string, std::uint64_t> requests, changes;
@@ -98,6 +102,7 @@
     Changed changed;
     std::map<std::string, Stamp> known;
     Stamp revision;
+    Time fresh{};  // when the latest request that was answered was made
     bool read = false;
     std::uint64_t round = 0;  // answers of earlier rounds are stale
     Duration backoff{0};
@@ -116,8 +121,9 @@
                 std::function<void(ListResult)> done);
   void readAll(Mirror& m);
   void follow(Mirror& m);
-  void followed(Mirror& m, const HttpResult& r);
-  void apply(Mirror& m, const wire::KeyPage& news);
+  const Mirror* find(const std::string& prefix) const;
+  void followed(Mirror& m, Time asked, const HttpResult& r);
+  void apply(Mirror& m, Time asked, const wire::KeyPage& news);
   void retry(Mirror& m);
   void createBatch();
   double rps() const;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -60,15 +60,23 @@
   return a;
 }
 
-// TTL + grace + lease + margin must stay within cancel_s (invariant 6). The margin covers drift, a request's
-// way and the steps in which silence is noticed; where there is little room it shrinks with it.
+// A hold that is shorter is lost for every slow answer of the state service.
+constexpr Duration kShortestHold{2'000};
+
+// What an answer may prolong, and the lease after it, must end within cancel_s of a cancellation that the
+// answer did not know of (invariant 16). The margin covers drift, a request's way and the steps in which
+// silence is noticed; where there is little room it shrinks with it.
 Duration Settings::margin() const {
   return seconds(std::min(3.0 + 0.005 * cancelS, 0.4 * (cancelS - leaseS)));
 }
 
-Duration Settings::holdTtl() const { return std::min(tuning.holdTtl, seconds(cancelS - leaseS) - margin()); }
+Duration Settings::blindFor() const { return std::max(seconds(cancelS - leaseS) - margin(), Duration{0}); }
+
+// Nobody cancels in our stead before the hold is over, so that a hold longer than blindFor() breaks no bound;
+// there is just no grace after it then.
+Duration Settings::holdTtl() const { return std::min(tuning.holdTtl, std::max(blindFor(), kShortestHold)); }
 
-Duration Settings::grace() const { return seconds(cancelS - leaseS) - margin() - holdTtl(); }
+Duration Settings::grace() const { return std::max(blindFor() - holdTtl(), Duration{0}); }
 
 namespace {
 std::optional<double> tightest(const std::vector<TimeAim>& aims, const std::string& jobClass) {
@@ -165,8 +173,6 @@
   s.listLagS = number(c, "list_lag_s", 0, 3600);
   s.fdLimit = static_cast<unsigned>(number(object(d, "machine_limits"), "fd_limit", 32, 1e6));
   s.clockErrorMs = number(d, "clock_error_ms", 0, 1e6);
-  if (s.holdTtl() < Duration{300})
-    throw SettingsError("settings: no room for a hold between lease_s and cancel_s");
   return s;
 }
 
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -73,10 +73,14 @@
   std::vector<NodeId> nodes;  // all controllers, sorted; the index is the number of the home share
 
   unsigned size() const { return static_cast<unsigned>(nodes.size()); }
-  // The life of this controller's hold: the operators' choice, or less where the deployment leaves no room.
+  // The life of this controller's hold: the operators' choice, or less where the deployment leaves little
+  // room.
   Duration holdTtl() const;
   // How long after its hold ran out a controller goes on answering check-ins (invariant 6).
   Duration grace() const;
+  // How long after a moment whose cancellations are all known a worker may be answered, though those since
+  // are not (invariant 16). Nothing where cancel_s is hardly above lease_s.
+  Duration blindFor() const;
   Duration margin() const;
   // Of the sockets allowed, those kept for siblings, the store, the cloud and commands to workers.
   std::size_t keptSockets() const { return fdLimit / 4 + 16; }
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -15,9 +15,10 @@
 struct OwnedShare {
   std::uint32_t share = 0;
   std::uint64_t epoch = 0;
+  std::uint64_t cancelled = 0;  // the revision of its latest cancellation
   template <class A>
   void serialize(A& a) {
-    a(share, epoch);
+    a(share, epoch, cancelled);
   }
 };
 
@@ -81,6 +82,16 @@
   }
 };
 
+// To everybody: a cancellation that is committed and about to be confirmed. Nothing depends on its arrival.
+struct JobAborted {
+  std::string job;
+  std::uint64_t stamp = 0;
+  template <class A>
+  void serialize(A& a) {
+    a(job, stamp);
+  }
+};
+
 // To the leader: a machine that no record names has reported.
 struct HostSeen {
   std::string body;
@@ -159,7 +170,8 @@
   }
 };
 
-using Payload = std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish>;
+using Payload =
+    std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish, JobAborted>;
 
 struct Frame {
   std::uint32_t from = 0;
--- a/tests/unit/deputy_test.cpp
+++ b/tests/unit/deputy_test.cpp
@@ -18,6 +18,7 @@
   DeputyLink deputy{at(100), kGrace, kGrace + kTtl};
   DeputyLink owner{at(3700), kGrace, kGrace + kTtl};
   std::uint64_t deputyLife = 1;
+  Stamp cancelled{40}, seen{40};  // the owner's latest cancellation; what the deputy knows of all jobs
 
   static Time ownersTime(std::int64_t s) { return at(s + 3600); }
   mesh::Pulse fromDeputy(std::int64_t s, bool hears) {
@@ -30,7 +31,7 @@
     mesh::Pulse p;
     p.life = 9;
     p.ownsForMs = ownsFor.count();
-    p.owns = {{kShare.value, kEpoch.value}};
+    p.owns = {{kShare.value, kEpoch.value, cancelled.value}};
     owner.fill(p, true, ownersTime(s));
     return p;
   }
@@ -41,7 +42,9 @@
       deputy.came(fromOwner(s), at(s));
     }
   }
-  bool may(std::int64_t s, bool hears = false) { return deputy.mayAnswer(kShare, kEpoch, hears, at(s)); }
+  bool may(std::int64_t s, bool hears = false) {
+    return deputy.mayAnswer(kShare, kEpoch, seen, hears, at(s));
+  }
 };
 
 }  // namespace
@@ -56,8 +59,8 @@
   together(101, 110);
   EXPECT_FALSE(may(113));  // not long after its last word that it answers nobody
   EXPECT_TRUE(may(116));
-  EXPECT_FALSE(deputy.mayAnswer(kShare, Epoch{8}, false, at(116)));
-  EXPECT_FALSE(deputy.mayAnswer(ShareNo{1}, kEpoch, false, at(116)));
+  EXPECT_FALSE(deputy.mayAnswer(kShare, Epoch{8}, seen, false, at(116)));
+  EXPECT_FALSE(deputy.mayAnswer(ShareNo{1}, kEpoch, seen, false, at(116)));
   EXPECT_TRUE(may(130));
   EXPECT_FALSE(may(131));  // 110 and the hold and the grace
   // The owner assumes nothing while the last word holds, and then all that may be.
@@ -67,6 +70,16 @@
   EXPECT_LE(owner.mayHaveAnswered(ownersTime(140)), ownersTime(131));
 }
 
+// Invariant 16: it would prolong what the user was told is over.
+TEST_F(Pair, WhoMissesACancellationMayNotAnswer) {
+  together(101, 109);
+  cancelled = Stamp{41};
+  together(110, 110);
+  EXPECT_FALSE(may(116));
+  seen = Stamp{41};
+  EXPECT_TRUE(may(116));
+}
+
 TEST_F(Pair, AnOwnerWithoutAHoldLendsNothing) {
   together(101, 110);
   deputy.came(fromOwner(111, Duration{0}), at(111));
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -120,6 +120,7 @@
   EXPECT_EQ(s.shareOfTeam(TeamId{"team-1"}).value, 1u);
   // Invariant 6: all of it fits before a cancellation is due.
   EXPECT_LE(inSeconds(s.holdTtl() + s.grace()) + s.leaseS, s.cancelS - 1);
+  EXPECT_EQ(s.blindFor(), s.holdTtl() + s.grace());
   EXPECT_THROW(parseSettings("{}", {}), SettingsError);
   EXPECT_THROW(parseSettings("nonsense", {}), SettingsError);
   EXPECT_THROW(parseAddress("10.0.0.1"), SettingsError);
@@ -127,6 +128,37 @@
   EXPECT_THROW(parseAddress("10.0.0.1:0"), SettingsError);
 }
 
+// Invariants 6 and 16, over deployments of many shapes: whatever a controller that does not know of a
+// cancellation answers, and the lease after that by the fastest and slowest clocks, is over within cancel_s.
+TEST(Settings, ACancellationMeetsItsTimeWhateverIsAnsweredWithoutKnowingOfIt) {
+  constexpr double kDrift = 0.001;  // of two clocks against each other
+  for (double lease : {0.5, 3.0, 10.0, 36.0, 45.0, 600.0}) {
+    for (double more : {0.0, 0.01, 0.2, 1.0, 2.0, 3.5, 5.0, 8.0, 16.0, 25.0, 30.0, 300.0, 6000.0}) {
+      for (int ttlMs : {500, 3'000, 60'000}) {
+        world::Deployment d;
+        d.leaseS = lease;
+        d.cancelS = lease + more;
+        Tuning t;
+        t.holdTtl = Duration{ttlMs};
+        auto s = parseSettings(d.settingsOf(0), t);
+        SCOPED_TRACE(testing::Message() << "lease " << lease << " cancel " << d.cancelS << " ttl " << ttlMs);
+        EXPECT_GE(s.holdTtl(), Duration{500});
+        EXPECT_LE(s.holdTtl(), t.holdTtl);
+        EXPECT_GE(s.grace(), Duration{0});
+        EXPECT_GE(s.blindFor(), Duration{0});
+        // Who answered last without knowing: a deputy or an owner not loaded, blindFor() after what they
+        // know; a former owner, the grace after the hold that must be over before another confirms.
+        for (auto last : {s.blindFor(), s.grace()}) {
+          double rest = inSeconds(last) * (1 + kDrift) + lease * (1 + kDrift);
+          // Where there is nothing to part, only the clocks' own error is beyond anyone's reach.
+          EXPECT_LE(rest, d.cancelS + (more < 2 * kDrift * d.cancelS ? 2 * kDrift * d.cancelS : 0.0));
+        }
+        EXPECT_EQ(s.grace(), std::max(s.blindFor() - s.holdTtl(), Duration{0}));
+      }
+    }
+  }
+}
+
 TEST(Admission, WhatCanNeverRun) {
   world::Deployment d;
   auto s = parseSettings(d.settingsOf(0), {});
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -132,7 +132,7 @@
     auto set = [&](const char* k, double& v) {
       if (o.count(k)) v = number(o[k]);
     };
-    if (w[0] == "seeds") {
+    if (w[0] == "seeds" || w[0] == "vary") {
       // read by runScenario
     } else if (w[0] == "seed") {
       d_.seed = static_cast<std::uint64_t>(number(w.at(1)));
@@ -400,20 +400,31 @@
 
 }  // namespace
 
-// "seeds 1 2 3" plays it once with each.
+// "seeds 1 2 3" plays it once with each, "vary 40 41.5 43" once more with each for every "$" in it.
 std::vector<std::string> runScenario(std::istream& in) {
   std::stringstream text;
   text << in.rdbuf();
-  std::vector<std::string> seeds{""};
+  std::vector<std::string> seeds{""}, varied{""};
   std::string line;
-  while (std::getline(text, line))
-    if (auto w = split(line); !w.empty() && w[0] == "seeds") seeds.assign(w.begin() + 1, w.end());
+  while (std::getline(text, line)) {
+    auto w = split(line);
+    if (w.empty()) continue;
+    if (w[0] == "seeds") seeds.assign(w.begin() + 1, w.end());
+    if (w[0] == "vary") varied.assign(w.begin() + 1, w.end());
+  }
   std::vector<std::string> complaints;
-  for (const auto& seed : seeds) {
-    Scenario s;
-    std::istringstream again(text.str() + (seed.empty() ? "" : "\nseed " + seed + "\n"));
-    s.read(again);
-    for (auto& c : s.run()) complaints.push_back(seed.empty() ? c : "seed " + seed + ": " + c);
+  for (const auto& value : varied) {
+    auto with = text.str();
+    for (auto at = with.find('$'); at != std::string::npos; at = with.find('$', at))
+      with.replace(at, 1, value);
+    for (const auto& seed : seeds) {
+      Scenario s;
+      std::istringstream again(with + (seed.empty() ? "" : "\nseed " + seed + "\n"));
+      s.read(again);
+      auto where =
+          (seed.empty() ? "" : "seed " + seed + ": ") + (value.empty() ? "" : "with " + value + ": ");
+      for (auto& c : s.run()) complaints.push_back(where + c);
+    }
   }
   return complaints;
 }
