Fix: a team's limit of 0 means that it has none

Ruled out: the classes' shapes and sizes (a line with the teams as they are read, on a scratch copy, shows 0 0 0).

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <fstream>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -34,6 +35,11 @@
 const json& object(const json& o, const char* name) {
   return need(o, name, json::value_t::object, "an object");
 }
+// "A value of 0 means none": a team of which no limit is told has none.
+double limit(const json& o, const char* name, double high) {
+  double v = number(o, name, 0, high);
+  return v > 0 ? v : std::numeric_limits<double>::infinity();
+}
 const json& list(const json& o, const char* name) { return need(o, name, json::value_t::array, "a list"); }
 
 }  // namespace
@@ -144,8 +150,8 @@
   }
   constexpr double big = 1e9;
   for (const auto& t : list(d, "teams"))
-    s.teams.push_back({TeamId{text(t, "name")}, number(t, "cpus", 0, big), number(t, "cpus_max", 0, big),
-                       number(t, "gpus", 0, big), number(t, "gpus_max", 0, big)});
+    s.teams.push_back({TeamId{text(t, "name")}, number(t, "cpus", 0, big), limit(t, "cpus_max", big),
+                       number(t, "gpus", 0, big), limit(t, "gpus_max", big)});
   std::sort(s.teams.begin(), s.teams.end(), [](const Team& a, const Team& b) { return a.name < b.name; });
   // Aims only guide the order of work: what is not understood is left out.
   if (d.contains("objectives") && d.at("objectives").is_array()) {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -31,7 +31,7 @@
 
 struct Team {
   TeamId name;
-  double cores = 0, coresMax = 0, gpus = 0, gpusMax = 0;
+  double cores = 0, coresMax = 0, gpus = 0, gpusMax = 0;  // guaranteed, and at most; without a limit infinite
 };
 
 // "This share of the jobs of a class should be done", or their tasks started, "so long after submission."
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -121,6 +121,10 @@
   // Invariant 6: all of it fits before a cancellation is due.
   EXPECT_LE(inSeconds(s.holdTtl() + s.grace()) + s.leaseS, s.cancelS - 1);
   EXPECT_EQ(s.blindFor(), s.holdTtl() + s.grace());
+  // "A value of 0 means none": no guarantee, and no limit.
+  d.guest = true;
+  auto guest = parseSettings(d.settingsOf(1), {}).team(TeamId{"team-guest"})->coresMax;
+  EXPECT_TRUE(std::isinf(guest));
   EXPECT_THROW(parseSettings("{}", {}), SettingsError);
   EXPECT_THROW(parseSettings("nonsense", {}), SettingsError);
   EXPECT_THROW(parseAddress("10.0.0.1"), SettingsError);
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -144,6 +144,8 @@
       d_.teams = static_cast<unsigned>(number(w.at(1)));
       d_.guaranteed = number(w.at(2));
       d_.limit = number(w.at(3));
+    } else if (w[0] == "guest") {
+      d_.guest = true;
     } else if (w[0] == "workers") {
       set("report", d_.reportS), set("lease", d_.leaseS), set("cancel", d_.cancelS);
     } else if (w[0] == "store") {
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -45,6 +45,8 @@
                         {"cpus_max", limit},
                         {"gpus", 0},
                         {"gpus_max", 0}});
+  if (guest)
+    teamList.push_back({{"name", "team-guest"}, {"cpus", 0}, {"cpus_max", 0}, {"gpus", 0}, {"gpus_max", 0}});
   return Json{
       {"node", name(node)},
       {"location", zones[node % zones.size()]},
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -16,6 +16,7 @@
   std::vector<std::string> zones{"a", "b"};
   unsigned teams = 3;
   double guaranteed = 24, limit = 88;
+  bool guest = false;  // a team "team-guest" without guarantee or limit
   double reportS = 3, leaseS = 36, cancelS = 61;
   double rps = 200, writeRps = 80, valueKb = 16, txnOps = 24;
   double drift = 0.0005;
