Stand-in: transactions that are carried out late, and a slow state service

late-writes and slow-store are new words of scenarios. A late transaction gets no answer and is carried out 2 to 12 s later under the conditions it names; in an outage it waits for its end. A slow answer waits before or after what was asked is carried out, so that answers overtake each other. Both count as troubles until the last of what they hold back has come.

--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -231,6 +231,10 @@
       x.trace(jobId(w.at(3))).plantedSilence = true;
     } else if (verb == "refuse") {
       x.store.refuse(w.at(3), now + ms(w.at(4)));
+    } else if (verb == "late-writes") {
+      x.store.lateWrites(number(w.at(3)), now + ms(w.at(4)));
+    } else if (verb == "slow-store") {
+      x.store.slow(ms(w.at(3)), now + ms(w.at(4)));
     } else if (verb == "lose") {
       x.net.loseAnswer(w.at(3), partyOf(w.at(4)));
     } else if (verb == "die") {
@@ -290,11 +294,13 @@
   // When the trouble that an event brings is over; what never ends counts as over at once.
   static Ms over(const Words& w) {
     static const std::map<std::string, std::size_t> lasts{
-        {"crash", 4},  {"cut", 5},      {"mute", 5},     {"copies", 4}, {"reboot", 4},
-        {"outage", 4}, {"refuse", 4},   {"hang", 4},     {"noboot", 3}, {"nocapacity", 3},
-        {"freeze", 4}, {"cut-zone", 4}, {"hang-many", 5}};
+        {"crash", 4},  {"cut", 5},      {"mute", 5},      {"copies", 4},      {"reboot", 4},
+        {"outage", 4}, {"refuse", 4},   {"hang", 4},      {"noboot", 3},      {"nocapacity", 3},
+        {"freeze", 4}, {"cut-zone", 4}, {"hang-many", 5}, {"late-writes", 4}, {"slow-store", 4}};
     auto it = lasts.find(w.at(2));
     Ms end = ms(w.at(1)) + (it == lasts.end() ? 0 : ms(w.at(it->second)));
+    if (w.at(2) == "late-writes") end += 12'000;
+    if (w.at(2) == "slow-store") end += ms(w.at(3));
     return w.at(2) == "copies" ? end + ms(w.at(6)) : end;
   }
   // In cuts, parties other than machines are named as they are.
--- a/tests/world/store.cpp
+++ b/tests/world/store.cpp
@@ -79,8 +79,13 @@
   if (apply.size() > txnOps_ || doc["when"].size() > 4 * txnOps_ || body.size() > 64 * 1024)
     return {400, R"({"error":"too large"})", false, 0};
   if (!changes_.take(clock_.now(), static_cast<double>(apply.size()))) return tooMany();
+  return carryOut(doc);
+}
+
+HttpResponse Store::carryOut(const Json& doc) {
+  auto apply = doc.value("apply", Json::array());
   Json failed = Json::array();
-  for (const auto& c : doc["when"]) {
+  for (const auto& c : doc.value("when", Json::array())) {
     auto it = data_.find(c["path"].get<std::string>());
     if ((it == data_.end() ? 0 : it->second.stamp) != c["stamp"].get<std::uint64_t>())
       failed.push_back(c["path"]);
@@ -174,9 +179,41 @@
   });
 }
 
+// A transaction whose sender gives up on it long before it is carried out.
+bool Store::postpone(const HttpRequest& r) {
+  if (clock_.now() >= lateUntil_ || r.target != "/txn" || !clock_.chance(lateShare_)) return false;
+  auto late = static_cast<Ms>(clock_.uniform(2'000, 12'000));
+  clock_.after(late, [this, doc = Json::parse(r.body)] { carryOutLate(doc); });
+  return true;
+}
+
+// Nothing changes in an outage.
+void Store::carryOutLate(const Json& doc) {
+  if (clock_.now() < outageUntil_)
+    clock_.at(outageUntil_ + 1, [this, doc] { carryOutLate(doc); });
+  else
+    carryOut(doc);
+}
+
 void Store::handle(const std::string& from, HttpRequest r, Reply reply) {
   if (!requests_.take(clock_.now(), 1)) return reply(tooMany());
   if (down(from)) return reply({503, "{}", false, 0});
+  if (postpone(r)) return;
+  if (clock_.now() >= slowUntil_) return answer(from, std::move(r), std::move(reply));
+  auto wait = static_cast<Ms>(clock_.uniform(0, static_cast<double>(slowest_)));
+  if (clock_.chance(0.5)) {
+    clock_.after(wait, [this, from, r = std::move(r), reply = std::move(reply)] {
+      if (down(from)) return reply({503, "{}", false, 0});
+      answer(from, r, reply);
+    });
+  } else {
+    answer(from, std::move(r), [this, wait, reply = std::move(reply)](HttpResponse response) {
+      clock_.after(wait, [reply, response = std::move(response)] { reply(response); });
+    });
+  }
+}
+
+void Store::answer(const std::string& from, HttpRequest r, Reply reply) {
   auto path = r.target.substr(0, r.target.find('?'));
   if (path == "/txn") return reply(txn(r.body));
   if (path.compare(0, 6, "/holds") == 0) return reply(holds(r));
--- a/tests/world/store.h
+++ b/tests/world/store.h
@@ -13,6 +13,10 @@
   Store(Clock& clock, Net& net, unsigned txnOps, std::size_t valueBytes, double rps, double writeRps);
   void outage(Ms until);
   void refuse(const std::string& who, Ms until) { refused_[who] = until; }
+  // Until then that share of the transactions gets no answer and is carried out 2 to 12 s later.
+  void lateWrites(double share, Ms until) { lateShare_ = share, lateUntil_ = until; }
+  // Until then answers take up to so long; what was asked is carried out before or after the wait.
+  void slow(Ms atMost, Ms until) { slowest_ = atMost, slowUntil_ = until; }
   std::uint64_t writes() const { return writes_; }
   // How many times ownership of anything changed hands.
   std::uint64_t epochs() const;
@@ -42,7 +46,11 @@
     bool over = false;
   };
   void handle(const std::string& from, HttpRequest r, Reply reply);
+  void answer(const std::string& from, HttpRequest r, Reply reply);
   HttpResponse txn(const std::string& body);
+  HttpResponse carryOut(const nlohmann::json& doc);
+  bool postpone(const HttpRequest& r);
+  void carryOutLate(const nlohmann::json& doc);
   HttpResponse tooMany();
   HttpResponse holds(const HttpRequest& r);
   HttpResponse list(const std::map<std::string, std::string>& q) const;
@@ -63,7 +71,8 @@
   std::size_t largestValue_ = 0;
   Allowance requests_, changes_;
   std::size_t overLimit_ = 0;
-  Ms outageUntil_ = -1;
+  Ms outageUntil_ = -1, lateUntil_ = -1, slowUntil_ = -1, slowest_ = 0;
+  double lateShare_ = 0;
   std::map<std::string, Ms> refused_;
   std::vector<std::shared_ptr<Watch>> watches_;
 };
