A mirror takes in no change that it has shown before

Cause: answers of the state service overtake each other when it is slow, and now and then without it. A watch is answered with a key that was written; a catch-up asked later is answered sooner, with the write and the drop that followed; then the watch's answer comes and writes the key again. The drop is never told again, as the mirror's revision is past it: a controller that ended stays alive for ever in the directory and nobody takes its shares, or a machine that was returned is back. Likewise a list that a later answer has overtaken dropped what was newer.

Ruled out: the rounds of the watches, which tell stale watches but not the catch-ups beside them; the stamps of keys, which a dropped key has none of.

Mended: news not above the mirror's revision are skipped, and so is a list below it; the revision never goes back. Unit tests Mirrored.* failed before (both) and pass.

--- a/src/actors/store.cpp
+++ b/src/actors/store.cpp
@@ -289,6 +289,10 @@
     if (round != m.round) return;
     if (!r.ok) return retry(m);
     m.backoff = Duration{0};
+    if (r.revision < m.revision) {  // an answer that covers more has overtaken it
+      m.read = true;
+      return follow(m);
+    }
     std::set<std::string> present;
     for (const auto& e : r.entries) {
       present.insert(e.key);
@@ -326,6 +330,8 @@
 
 void StateStore::apply(Mirror& m, const wire::KeyPage& news) {
   for (const auto& e : news.entries) {
+    // Answers overtake each other: what an earlier one covered is in view, and may be gone again since.
+    if (e.stamp <= m.revision) continue;
     if (e.value) {
       auto& stamp = m.known[e.key];
       if (e.stamp <= stamp) continue;
--- /dev/null
+++ b/tests/unit/mirror_test.cpp
@@ -0,0 +1,74 @@
+// What a mirror of the state service shows when answers come late and out of order.
+#include <gtest/gtest.h>
+
+#include "actors/store.h"
+#include "world/world.h"
+
+using namespace cherryloft;
+
+namespace {
+
+// Keeps every request for the test to answer when it likes; time stands.
+struct HeldIo : Io {
+  struct Call {
+    std::string target;
+    HttpDone done;
+  };
+  std::vector<Call> calls;
+  Time now() const override { return Time{Duration{5000}}; }
+  WallTime wall() const override { return {1}; }
+  void after(Duration, std::function<void()>) override {}
+  void call(const Address&, HttpRequest r, Duration, HttpDone done) override {
+    calls.push_back({r.target, std::move(done)});
+  }
+  void mesh(std::uint32_t, const mesh::Frame&) override {}
+  void remesh(std::uint32_t) override {}
+  void answer(std::size_t n, const std::string& body) {
+    auto done = calls.at(n).done;
+    done({HttpResult::Outcome::Answered, {200, body, false, 0}});
+  }
+};
+
+struct Mirrored : testing::Test {
+  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
+  HeldIo io;
+  StateStore store{settings, io, silentLog(), 1};
+  std::set<std::string> shown;
+
+  // Calls 0 and 1 are the first list and the first watch.
+  void begin(const std::string& entries) {
+    store.mirror("node/", [this](const wire::KeyChange& c) {
+      if (c.value)
+        shown.insert(c.key);
+      else
+        shown.erase(c.key);
+    });
+    io.answer(0, R"({"entries":[)" + entries + R"(],"truncated":false,"ledger_rev":4})");
+  }
+};
+
+}  // namespace
+
+TEST_F(Mirrored, ALateAnswerDoesNotBringBackADroppedKey) {
+  begin("");
+  store.catchUp("node/", [](bool) {});
+  ASSERT_EQ(io.calls.size(), 3u);
+  io.answer(
+      2, R"({"ledger_rev":7,"news":[{"write":"node/x","value":{},"stamp":5},{"drop":"node/x","stamp":7}]})");
+  EXPECT_TRUE(shown.empty());
+  io.answer(1, R"({"ledger_rev":5,"news":[{"write":"node/x","value":{},"stamp":5}]})");
+  EXPECT_TRUE(shown.empty());
+}
+
+TEST_F(Mirrored, AnOldListDoesNotDropANewerKey) {
+  begin("");
+  store.catchUp("node/", [](bool) {});
+  // The watch is too old and all is read anew; the list is as old as its first page.
+  auto tooOld = io.calls.at(1).done;
+  tooOld({HttpResult::Outcome::Answered, {410, "{}", false, 0}});
+  ASSERT_EQ(io.calls.size(), 4u);
+  io.answer(2, R"({"ledger_rev":9,"news":[{"write":"node/x","value":{},"stamp":9}]})");
+  EXPECT_EQ(shown.size(), 1u);
+  io.answer(3, R"({"entries":[],"truncated":false,"ledger_rev":8})");
+  EXPECT_EQ(shown.size(), 1u);
+}
