Machine groups are created one after the other, and never late after a newer one

Cause: a group was created under the leader's stamp and the absence of its key. Of a creation without an answer the leader thought no more: the machine list named the machines again and they were adopted into another group, in another share perhaps. The first was then carried out late, as its own key was still absent: the machines were in two groups, their owner took them for gone and started their tasks elsewhere (ran_twice). Absence of the key does not tell either that the group was there and is dropped: it would bring back machines that moved or were returned. The same happened without a late transaction when a second after a creation the mirror did not show it yet, and when a rental and an adoption of the same machine were written one after the other.

Ruled out: a retry alone, as the first try may come after the retry's group is dropped; the names of groups, as one leader forms two groups of the same machine in one epoch; moves, which draw an epoch in the same transaction.

Mended: every creation also writes share/groups under its stamp. One transaction is on its way at a time, of as many groups as it takes; without an answer the same is sent again; the next waits until what became of it is in view, and leaves out what is recorded or was returned.

--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -22,6 +22,10 @@
     if (catalog) d.catalog = std::move(*catalog), d.catalogStamp = c.stamp;
     return;
   }
+  if (c.key == keys::kGroups) {
+    d.groupsStamp = c.stamp;
+    return;
+  }
   auto owner = c.value ? wire::parseOwnerRecord(*c.value) : std::nullopt;
   if (c.key == keys::kLeader) {
     d.leader.reset();
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -44,6 +44,7 @@
   Stamp epochStamp;
   Catalog catalog;
   Stamp catalogStamp;
+  Stamp groupsStamp;  // of the latest creation of machine groups
 
   bool alive(const NodeId& n) const { return nodes.count(n) > 0; }
   const NodeId* ownerOf(ShareNo k) const {
@@ -63,6 +64,7 @@
 namespace keys {
 inline const std::string kJobs = "job/", kHosts = "host/", kShares = "share/", kNodes = "node/";
 inline const std::string kLeader = "share/leader", kEpoch = "share/epoch", kCatalog = "share/catalog";
+inline const std::string kGroups = "share/groups";  // written with every creation of machine groups
 inline std::string job(const JobId& id) { return kJobs + id.value; }
 // A group is named after its first machine and the epoch under which it was formed, and so once for ever.
 inline std::string group(const HostId& first, Epoch e) {
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -48,6 +48,9 @@
   toMark_.clear();
   asking_.clear();
   current_ = false;
+  toRecord_.clear();
+  recording_.clear();
+  adopting_.clear();
   catchUp();
   loads_.clear();
   rentals_.clear();
@@ -55,12 +58,23 @@
 }
 
 // What former leaders recorded must be in view before anything is recorded anew: their writes fail from our
-// epoch on, so a look after it sees all of them.
+// epoch on, so a look after it sees all of them. The same goes for what we recorded ourselves.
 void Fleet::catchUp() {
-  store_.catchUp(keys::kHosts, [this, since = ledSince_](bool ok) {
+  auto since = ledSince_;
+  auto seen = [this, since](bool ok) {
     if (!leads_ || since != ledSince_) return;
-    current_ = ok;
-    if (!ok) io_.after(Duration{300}, [this] { catchUp(); });
+    if (!ok)
+      return io_.after(Duration{300}, [this, since] {
+        if (since == ledSince_) catchUp();
+      });
+    current_ = true;
+    // Recorded, and then in view; or not, and then the machine list names them again.
+    for (const auto& id : std::exchange(recording_, {})) adopting_.erase(id);
+    recordWaiting();
+  };
+  store_.catchUp(keys::kShares, [this, seen](bool ok) {
+    if (!ok) return seen(false);
+    store_.catchUp(keys::kHosts, seen);
   });
 }
 
@@ -633,40 +647,58 @@
 
 void Fleet::record(const std::vector<HostId>& hosts, ShareNo share, const std::string& type, const Zone& zone,
                    bool spot, const std::map<HostId, wire::HostRecord>* known) {
+  if (!leads_ || !dir_.leader) return;
   auto most = wire::membersIn(settings_.valueBytes);
   for (std::size_t from = 0; from < hosts.size(); from += most) {
     wire::GroupRecord g{share, Epoch{}, type, zone, spot, io_.wall(), {}};
     for (auto i = from; i < std::min(from + most, hosts.size()); ++i)
       g.members.push_back({hosts[i], wire::HostPhase::InUse, known ? known->at(hosts[i]).address : ""});
-    recordGroup(std::move(g));
+    for (const auto& m : g.members) adopting_.insert(m.id);
+    toRecord_.push_back(std::move(g));
   }
+  recordWaiting();
 }
 
-// Under the leader's epoch only, so that no late copy of it can bring machines back.
-void Fleet::recordGroup(wire::GroupRecord g) {
-  if (!leads_ || !dir_.leader) return;
-  for (const auto& m : g.members) adopting_.insert(m.id);
-  auto forget = [this, members = g.members] {
-    for (const auto& m : members) adopting_.erase(m.id);
-  };
-  if (!current_) {
-    io_.after(Duration{300}, [this, g, forget] {
-      forget();
-      recordGroup(g);
-    });
-    return;
-  }
-  std::erase_if(g.members, [&](const auto& m) { return dir_.hosts.count(m.id) > 0; });
-  if (g.members.empty()) return forget();
+// Groups are created one transaction after the other, each once the one before is in view. That a group's key
+// is absent does not tell a late transaction that it was never there: so all write one key under its stamp,
+// and none is carried out after a newer one. It could put machines into two groups, or bring back what was
+// returned.
+void Fleet::recordWaiting() {
+  if (!leads_ || !dir_.leader || !current_ || !recording_.empty()) return;
   wire::Transaction t;
-  auto key = keys::group(g.members.front().id, dir_.leader->record.epoch);
   t.when[keys::kLeader] = dir_.leader->stamp;
-  t.when[key] = Stamp{0};
-  t.apply.push_back({key, wire::encodeGroup(g), {}});
-  store_.txn(Urgency::Control, std::move(t), Duration{3'000}, [this, g, forget](TxnResult r) {
-    // Written, or not: then the machine list names them again.
-    if (r.ok()) return void(io_.after(Duration{1'000}, forget));
-    forget();
+  t.when[keys::kGroups] = dir_.groupsStamp;
+  t.apply.push_back({keys::kGroups, wire::encodeCounter(dir_.leader->record.epoch), {}});
+  std::size_t weight = 0;
+  while (!toRecord_.empty() && t.apply.size() < settings_.txnOps &&
+         (t.apply.size() == 1 || weight + settings_.valueBytes <= wire::kMostWeight)) {
+    auto g = std::move(toRecord_.front());
+    toRecord_.pop_front();
+    std::erase_if(g.members, [&](const auto& m) {
+      bool known = dir_.hosts.count(m.id) > 0 || returned_.count(m.id) > 0;
+      if (known) adopting_.erase(m.id);
+      return known || !recording_.insert(m.id).second;
+    });
+    if (g.members.empty()) continue;
+    wire::Write w{keys::group(g.members.front().id, dir_.leader->record.epoch), wire::encodeGroup(g), {}};
+    weight += wire::weightOf(w);
+    t.when[w.key] = Stamp{0};
+    t.apply.push_back(std::move(w));
+  }
+  if (t.apply.size() > 1) sendRecords(t);
+}
+
+// After no answer the same again: either it is done now, or the conflict tells that it was or never will be.
+void Fleet::sendRecords(const wire::Transaction& t) {
+  store_.txn(Urgency::Control, t, Duration{3'000}, [this, t, since = ledSince_](TxnResult r) {
+    if (!leads_ || since != ledSince_) return;
+    using O = TxnResult::Outcome;
+    if (r.outcome == O::Unknown || r.outcome == O::Refused)
+      return io_.after(Duration{200}, [this, t, since] {
+        if (leads_ && since == ledSince_) sendRecords(t);
+      });
+    current_ = false;
+    catchUp();
   });
 }
 
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -1,6 +1,7 @@
 // Fleet: acts on the leader only. Rents, adopts, moves and returns machines.
 #pragma once
 
+#include <deque>
 #include <set>
 
 #include "actors/directory.h"
@@ -71,7 +72,8 @@
   void rented(std::shared_ptr<Rental> r, const HttpResult& h);
   void record(const std::vector<HostId>& hosts, ShareNo share, const std::string& type, const Zone& zone,
               bool spot, const std::map<HostId, wire::HostRecord>* known);
-  void recordGroup(wire::GroupRecord g);
+  void recordWaiting();
+  void sendRecords(const wire::Transaction& t);
   struct Lack {
     double gap = 0;  // cores that a share is short of
     std::map<std::string, long> ofType;
@@ -99,13 +101,15 @@
   std::map<policy::Offer, Duration> refusedFor_;
   std::vector<std::shared_ptr<Rental>> rentals_;  // not yet answered
   std::uint64_t claims_ = 0;
-  bool current_ = false;  // all that former leaders recorded is in view
+  bool current_ = false;  // all that former leaders recorded, and we did, is in view
   struct Listed {
     Time first{}, last{};  // lists that named it
   };
   std::map<HostId, Listed> listed_;
   std::set<HostId> toMark_, adopting_, asking_;
   bool marking_ = false;
+  std::deque<wire::GroupRecord> toRecord_;
+  std::set<HostId> recording_;  // machines of groups on their way, until what became of them is in view
   std::map<HostId, wire::HostRecord> waitingAdoption_;
   Time adoptAt_{};
   std::set<HostId> returned_;
