A controller that leads again under the same epoch goes on with its claim names

Cause: leadership counted claims from 1 at each beginning. When answers of the state service are slow, a leader's hold is not good by its own clock while it lives on in the store; once an answer comes, the same controller leads under the same epoch, and its claims bore the names of those before. The cloud repeats its first answer for these: nothing is rented, and machines that may be long returned are recorded.

Ruled out: a new process, which draws a new epoch under a new node/ key; a late draw of its own, which conflicts.

Mended: the counter is the process's.

--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -43,7 +43,6 @@
   leads_ = yes;
   if (!yes) return;
   ledSince_ = moveAt_ = io_.now();
-  claims_ = 0;
   listed_.clear();
   toMark_.clear();
   asking_.clear();
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -100,8 +100,8 @@
   std::map<policy::Offer, Time> refusedUntil_;
   std::map<policy::Offer, Duration> refusedFor_;
   std::vector<std::shared_ptr<Rental>> rentals_;  // not yet answered
-  std::uint64_t claims_ = 0;
-  bool current_ = false;  // all that former leaders recorded, and we did, is in view
+  std::uint64_t claims_ = 0;                      // of this process: it may lead twice under one epoch
+  bool current_ = false;                          // all that former leaders recorded, and we did, is in view
   struct Listed {
     Time first{}, last{};  // lists that named it
   };
