No start is sent of a job whose user has asked to cancel it

Cause: the owner stopped a cancelled job's tasks once its commit was answered. The commit was carried out and its answer lost: a sibling's mirror shows the job as aborted, and the sibling tells the user, while the owner sends the same commit again 2.2 s later. Starts of the job that were committed before and still waited for their turn (a machine that is being commanded, more machines than commands at a time) were sent meanwhile, up to 1.6 s after the user had been told. The same when a commit tells of a job's placements and of its end: its starts went out first.

Ruled out: placing, as a job that is to end is no candidate; a late commit, which the owner's next one is the same as.

Mended: no order starts a task of a job that is not open.

--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -267,6 +267,8 @@
   for (auto& [task, p] : h.placements) {
     if (out.size() >= kMostOrders) break;
     if (p.committed && p.wanted && !p.shown && !p.restored) {
+      // Perhaps its end is committed, without an answer to us, and told by a sibling (invariant 8).
+      if (!p.job->open()) continue;
       if (checkIn ? h.directBusy : p.sent) continue;
       out.push_back({Order::Verb::Start, task, p.attempt, 0});
       p.sent = true;
