Each hold has one chain of renewals

Cause: when the state service says in answer to a join that the hold is gone, a new one is opened while the renewals of the old go on, which then renew the new hold as well; each such event adds a chain, for ever. A renewal of the old hold that is answered late gives up the new one. Both come with long refusals and slow answers.

Ruled out: the renewal itself finding the hold gone, which ends its chain before the next begins.

Mended: a chain ends when its hold is not ours any more, and an answer for another hold counts for nothing. Unit test Membership.AHoldIsRenewedOnceAtATime failed before (65 renewals in 10 s after four such events, 14 allowed) and passes. No invariant changes.

--- a/src/actors/membership.cpp
+++ b/src/actors/membership.cpp
@@ -72,11 +72,14 @@
   });
 }
 
-void Membership::renew() {
-  if (!hold_) return;
+// Each hold has its own chain of renewals, and what is said of one that was given up concerns no other.
+void Membership::renew(std::uint64_t hold) {
+  if (hold_ != hold) return;
   auto sent = io_.now();
   auto patience = std::max(settings_.holdTtl() / 3, Duration{100});
-  store_.renewHold(*hold_, patience, [this, sent](StateStore::Renewal r) { renewed(sent, r); });
+  store_.renewHold(hold, patience, [this, sent, hold](StateStore::Renewal r) {
+    if (hold_ == hold) renewed(sent, r);
+  });
 }
 
 void Membership::renewed(Time sent, StateStore::Renewal r) {
@@ -86,11 +89,12 @@
       extend(sent);
       if (silent_ && joined_) store_.restartWatches();
       silent_ = false;
-      io_.after(std::max(sent + settings_.holdTtl() / 4 - now, Duration{10}), [this] { renew(); });
+      io_.after(std::max(sent + settings_.holdTtl() / 4 - now, Duration{10}),
+                [this, hold = *hold_] { renew(hold); });
       break;
     case StateStore::Renewal::NoAnswer:
       silent_ = true;
-      io_.after(Duration{150}, [this] { renew(); });
+      io_.after(Duration{150}, [this, hold = *hold_] { renew(hold); });
       break;
     case StateStore::Renewal::Gone:
       log_->info("hold {} is gone", *hold_);
--- a/src/actors/membership.h
+++ b/src/actors/membership.h
@@ -48,7 +48,7 @@
  private:
   void open();
   void join();
-  void renew();
+  void renew(std::uint64_t hold);
   void renewed(Time sent, StateStore::Renewal r);
   void extend(Time sent);
   void review();
