An owner whose commit of a job's end has no answer yet says nothing older

Cause: the commit that ends a job is carried out and its answer late or lost.

Ruled out: the owner's own mirror, which shows the end too if its watch is answered; a former owner, whose hold is over; a new one, which reads the jobs after its take.

Mended: from the sending of such a commit until its answer the owner leaves questions about the job to a strong read.

--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -206,6 +206,10 @@
   if (!loaded_ || !owns()) return std::nullopt;
   auto it = books_.jobs().find(id);
   if (it == books_.jobs().end() || it->second.status != JobStatus::Open) return std::nullopt;
+  // Its end is on its way or in doubt: a sibling may have seen it, and told the user, before us.
+  if (flight_ &&
+      std::any_of(flight_->ended.begin(), flight_->ended.end(), [&](const auto& e) { return e.first == id; }))
+    return std::nullopt;
   const auto& j = it->second;
   return wire::JobView{JobStatus::Open, static_cast<std::uint32_t>(j.tasks.size()), j.done, j.running};
 }
