--- a/tests/world/cloud.cpp
+++ b/tests/world/cloud.cpp
@@ -89,6 +89,13 @@
   return out;
 }
 
+std::vector<Room> Cloud::rooms() const {
+  std::vector<Room> out;
+  for (const auto& [id, r] : hosts_)
+    if (r.worker && r.worker->alive() && r.goneAt < 0 && r.failedAt < 0) out.push_back(r.worker->room());
+  return out;
+}
+
 std::vector<std::string> Cloud::inZone(const std::string& zone) const {
   std::vector<std::string> out;
   for (const auto& [id, r] : hosts_)
--- /dev/null
+++ b/tests/world/odd_users.cpp
@@ -0,0 +1,78 @@
+// What users do that is odd, or at the oddest moment.
+#include "world/world.h"
+
+namespace world {
+using Json = nlohmann::json;
+
+namespace {
+const std::vector<std::string> kFields{"name_id",          "jobclass",  "owner",  "shape",    "rank",
+                                       "pieces",           "cores",     "gpus",   "ram_gb",   "bundle",
+                                       "image_gb",         "one_zone",  "spread", "lendable", "expect_s",
+                                       "snapshot_every_s", "snapshot_s"};
+
+std::string statusIn(const HttpResult& h) {
+  return Json::parse(h.response.body)["status"].get<std::string>();
+}
+}  // namespace
+
+void World::submitWrong(const std::string& id, const std::string& kind, std::string field) {
+  TaskNature n;
+  n.spec.id = cherryloft::JobId{id};
+  n.spec.team = cherryloft::TeamId{"team-0"};
+  n.spec.each = {1, 0, 1};
+  n.spec.image = cherryloft::ImageId{"img-1"};
+  auto doc = Json::parse(bodyOf(n));
+  doc["jobclass"] = "plain";
+  if (field.empty()) field = kFields[clock.rng() % kFields.size()];
+  if (kind == "nofit")
+    doc["cores"] = 100'000.0;
+  else if (kind == "noteam")
+    doc["owner"] = "nobody";
+  else if (kind == "nozone")
+    doc["site"] = "nowhere";
+  else if (kind == "overlimit")
+    doc["shape"] = "service", doc["pieces"] = 50'000;
+  else if (kind == "apart")
+    doc["pieces"] = 4, doc["spread"] = true, doc["one_zone"] = true;
+  else if (kind == "nofield")
+    doc.erase(field);
+  else if (kind == "badfield")
+    doc[field] = Json::array({1});
+  else if (kind != "notjson")
+    throw std::runtime_error("unknown kind '" + kind + "'");
+  auto body = kind == "notjson" ? doc.dump().substr(1) : doc.dump();
+  traces[id].id = id;
+  checker.submittedWrong(id, kind + (kind == "nofield" || kind == "badfield" ? " " + field : ""));
+  trySubmit(id, body);
+}
+
+void World::resubmit(const std::string& id) {
+  auto nature = natures.find(id);
+  if (nature == natures.end()) return;
+  request({"POST", "/v1/jobs", bodyOf(nature->second), false}, 5000, [this, id](HttpResult h) {
+    if (h.answered(200) || h.answered(201)) return checker.told(id, statusIn(h), said_);
+    if (h.answered(400) || h.answered(422)) return checker.refusedRetry(id, h.response.status);
+    clock.after(1000, [this, id] { resubmit(id); });
+  });
+}
+
+void World::ended(const std::string& id) {
+  auto it = atEnd_.find(id);
+  if (it == atEnd_.end()) return;
+  for (const auto& a : it->second)
+    clock.after(static_cast<Ms>(clock.uniform(0, static_cast<double>(a.within))), [this, id, what = a.what] {
+      if (what == "withdraw")
+        withdraw(id);
+      else if (what == "resubmit")
+        resubmit(id);
+      else
+        poll(id, false);
+    });
+}
+
+void World::plantUnsent(const TaskNature& nature) {
+  checker.submitted(nature.spec, nature.fails);
+  checker.accepted(nature.spec.id.value);
+}
+
+}  // namespace world
