--- a/tests/world/checker.cpp
+++ b/tests/world/checker.cpp
@@ -67,6 +67,7 @@
   const auto& s = *j.spec;
   auto name = job + "/" + std::to_string(index);
   ++j.starts;
+  j.roomSince = -1;  // it has its turns
   if (j.begunAt < 0) j.begunAt = clock_.now();
   if (j.on.count(index)) breaks("ran_twice", name + " starts on " + m.id + " while on " + j.on[index].id);
   if (j.final == "aborted" && clock_.now() - j.finalAt > static_cast<Ms>(settings_.cancelS * 1000))
