A takeover repeats only the step of its load that had no answer

When the state service answers slowly, the load of a share began anew with each question that was not answered in time, though what the directory has shown once stays in view. Each step is now repeated by itself.

--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -46,22 +46,26 @@
 // --- loading ---
 
 void Scheduler::load() {
-  auto again = [this] { io_.after(kLoadRetry, guarded([this] { load(); })); };
   // All that was committed before the takeover must be in view; what a former owner sends later fails on
-  // the share's stamp.
-  store_.catchUp(keys::kJobs, guarded([this, again](bool jobs) {
-                   if (!jobs) return again();
-                   store_.catchUp(keys::kHosts, guarded([this, again](bool hosts) {
-                                    if (!hosts) return again();
-                                    store_.list(Urgency::Control, keys::runs(taken_.share),
-                                                guarded([this, again](ListResult r) {
-                                                  if (!r.ok) return again();
-                                                  build(r);
-                                                }));
-                                  }));
+  // the share's stamp. What was seen once stays in view, so each step is repeated by itself.
+  viewed(keys::kJobs, [this] { viewed(keys::kHosts, [this] { loadRuns(); }); });
+}
+
+// Calls next once the directory shows what was committed under the prefix.
+void Scheduler::viewed(const std::string& prefix, std::function<void()> next) {
+  store_.catchUp(prefix, guarded([this, prefix, next](bool ok) {
+                   if (ok) return next();
+                   io_.after(kLoadRetry, guarded([this, prefix, next] { viewed(prefix, next); }));
                  }));
 }
 
+void Scheduler::loadRuns() {
+  store_.list(Urgency::Control, keys::runs(taken_.share), guarded([this](ListResult r) {
+                if (r.ok) return build(r);
+                io_.after(kLoadRetry, guarded([this] { loadRuns(); }));
+              }));
+}
+
 void Scheduler::build(const ListResult& runs) {
   auto now = io_.now();
   for (const auto& [id, known] : dir_.hosts)
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -68,6 +68,8 @@
 
   // Loading (invariant 7).
   void load();
+  void viewed(const std::string& prefix, std::function<void()> next);
+  void loadRuns();
   void build(const ListResult& runs);
   struct Restored {
     wire::RunEntry entry;
