Each hold has one chain of joins

Cause: when a hold went while a join under it was still to come about, the next hold got a chain of joins of its own and the old chain went on with it: twice the transactions, and a second join moved the stamp of the node/ key, so that a leader drew its leadership anew.

Ruled out: a late join, which fails on the node/ key's stamp or on its hold.

Mended: a join belongs to the hold it was begun for. No invariant changes.

--- a/src/actors/membership.cpp
+++ b/src/actors/membership.cpp
@@ -34,19 +34,19 @@
     hold_ = id;
     silent_ = true;
     renewed(sent, StateStore::Renewal::Good);
-    join();
+    join(*hold_);
   });
 }
 
 // Writes our node/ key under the hold. It must fail when a share we believe ours was taken meanwhile.
-void Membership::join() {
-  if (!hold_) return;
-  auto again = [this] { io_.after(Duration{100}, [this] { join(); }); };
+void Membership::join(std::uint64_t hold) {
+  if (hold_ != hold) return;
+  auto again = [this, hold] { io_.after(Duration{100}, [this, hold] { join(hold); }); };
   if (!store_.mirrored()) return again();
-  store_.catchUp(keys::kNodes, [this, again](bool nodesOk) {
+  store_.catchUp(keys::kNodes, [this, hold, again](bool nodesOk) {
     if (!nodesOk) return again();
-    store_.catchUp(keys::kShares, [this, again](bool sharesOk) {
-      if (!hold_) return;
+    store_.catchUp(keys::kShares, [this, hold, again](bool sharesOk) {
+      if (hold_ != hold) return;
       if (!sharesOk) return again();
       review();  // drops what the directory shows as taken
       wire::Transaction t;
@@ -54,9 +54,9 @@
       t.when[keys::node(settings_.node)] = me == dir_.nodes.end() ? Stamp{0} : me->second;
       for (const auto& [k, _] : owned_) t.when[keys::share(k)] = dir_.shares.at(k).stamp;
       t.apply.push_back(
-          {keys::node(settings_.node), "{\"at\":" + std::to_string(io_.wall().value) + "}", hold_});
-      store_.txn(Urgency::Hold, std::move(t), Duration{1'000}, [this, again](TxnResult r) {
-        if (!hold_) return;
+          {keys::node(settings_.node), "{\"at\":" + std::to_string(io_.wall().value) + "}", hold});
+      store_.txn(Urgency::Hold, std::move(t), Duration{1'000}, [this, hold, again](TxnResult r) {
+        if (hold_ != hold) return;
         if (r.outcome == TxnResult::Outcome::NoHold) {
           hold_.reset();
           return open();
@@ -64,7 +64,7 @@
         if (!r.ok()) return again();
         joined_ = true;
         joinStamp_ = r.revision;
-        log_->info("joined with hold {}", *hold_);
+        log_->info("joined with hold {}", hold);
         out_.standing(standing());
         review();
       });
@@ -72,7 +72,8 @@
   });
 }
 
-// Each hold has its own chain of renewals, and what is said of one that was given up concerns no other.
+// Each hold has its own chain of joins and of renewals, and what is said of one that was given up concerns no
+// other.
 void Membership::renew(std::uint64_t hold) {
   if (hold_ != hold) return;
   auto sent = io_.now();
--- a/src/actors/membership.h
+++ b/src/actors/membership.h
@@ -47,7 +47,7 @@
 
  private:
   void open();
-  void join();
+  void join(std::uint64_t hold);
   void renew(std::uint64_t hold);
   void renewed(Time sent, StateStore::Renewal r);
   void extend(Time sent);
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -13,6 +13,7 @@
   world::Clock clock{1};
   int holds = 0, renewals = 0, txns = 0;
   std::function<int()> txnStatus = [] { return 200; };
+  std::function<int()> renewStatus = [] { return 200; };
   Time now() const override { return Time{Duration{clock.now() + 5000}}; }
   WallTime wall() const override { return {clock.now()}; }
   void after(Duration d, std::function<void()> f) override { clock.after(d.count(), std::move(f)); }
@@ -20,6 +21,7 @@
     HttpResponse out{200, R"({"entries":[],"news":[],"truncated":false,"ledger_rev":1})", false, 0};
     if (r.target.ends_with("/renew")) {
       ++renewals;
+      out.status = renewStatus();
     } else if (r.target == "/holds") {
       out.body = "{\"tenancy\":" + std::to_string(++holds) + "}";
     } else if (r.target == "/txn") {
@@ -35,22 +37,31 @@
   void remesh(std::uint32_t) override {}
 };
 
+struct Held : testing::Test {
+  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
+  ServiceIo io;
+  StateStore store{settings, io, silentLog(), 1};
+  Directory dir;
+  Membership membership{
+      settings,
+      io,
+      silentLog(),
+      store,
+      dir,
+      {[](const Standing&) {}, [](const Taken&) {}, [](ShareNo) {}, [](bool) {}, [](ShareNo, NodeId) {}}};
+  Held() {
+    for (const auto& p : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
+      store.mirror(p, [](const wire::KeyChange&) {});
+  }
+};
+
 }  // namespace
 
 // The store says now and then that a hold is gone before a renewal does: the next hold is renewed as often.
-TEST(Membership, AHoldIsRenewedOnceAtATime) {
-  auto settings = parseSettings(world::Deployment{}.settingsOf(0), {});
-  ServiceIo io;
-  StateStore store(settings, io, silentLog(), 1);
-  Directory dir;
-  for (const auto& p : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
-    store.mirror(p, [](const wire::KeyChange&) {});
-  Membership m(
-      settings, io, silentLog(), store, dir,
-      {[](const Standing&) {}, [](const Taken&) {}, [](ShareNo) {}, [](bool) {}, [](ShareNo, NodeId) {}});
+TEST_F(Held, AHoldIsRenewedOnceAtATime) {
   int refused = 0;
   io.txnStatus = [&refused] { return ++refused <= 4 ? 400 : 409; };
-  m.start();
+  membership.start();
   io.clock.run(10'000);
   EXPECT_EQ(io.holds, 5);
   auto before = io.renewals;
@@ -58,3 +69,16 @@
   // Four in a time to live of 3 s.
   EXPECT_LE(io.renewals - before, 14);
 }
+
+// Holds go while a join under them is still to come about: there is one join at a time, under the last.
+TEST_F(Held, AHoldIsJoinedOnceAtATime) {
+  io.txnStatus = [] { return 409; };
+  int gone = 0;
+  io.renewStatus = [&gone] { return ++gone <= 4 ? 404 : 200; };
+  membership.start();
+  io.clock.run(10'000);
+  EXPECT_EQ(io.holds, 5);
+  auto before = io.txns;
+  io.clock.run(20'000);
+  EXPECT_LE(io.txns - before, 100);
+}
