--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -86,6 +86,12 @@
 
 // --- questions ---
 
+// The owner's answer may have been given before an end that we have told, or heard of, since.
+HttpResponse Api::relayed(const JobId& id, const mesh::Answer& a) const {
+  if (const KnownJob* job = known(id); job && job->status != JobStatus::Open) return ended(id, *job);
+  return {a.status, a.body, false, a.status == 503 ? 1 : 0};
+}
+
 void Api::poll(const JobId& id, Responder done) {
   const KnownJob* job = known(id);
   if (!job) return strongRead(id, std::move(done));
@@ -99,7 +105,7 @@
   if (!owner || *owner == settings_.node || !peers_.reaches(*owner)) return strongRead(id, std::move(done));
   peers_.ask(*owner, mesh::JobAsk{0, false, id.value}, kAskOwner,
              [this, id, done = std::move(done)](const mesh::Answer* a) {
-               if (a && a->status > 0) return done({a->status, a->body, false, 0});
+               if (a && a->status > 0) return done(relayed(id, *a));
                strongRead(id, done);
              });
 }
@@ -157,8 +163,8 @@
   if (!peers_.reaches(*owner))
     return done(wire::userUnavailable("the owner of the job's share is out of reach"));
   peers_.ask(*owner, mesh::JobAsk{0, true, id.value}, kWithdraw + Duration{300},
-             [done = std::move(done)](const mesh::Answer* a) {
-               if (a && a->status > 0) return done({a->status, a->body, false, a->status == 503 ? 1 : 0});
+             [this, id, done = std::move(done)](const mesh::Answer* a) {
+               if (a && a->status > 0) return done(relayed(id, *a));
                done(wire::userUnavailable("the owner of the job's share does not answer"));
              });
 }
--- a/src/actors/api.h
+++ b/src/actors/api.h
@@ -30,6 +30,7 @@
   void refuse(const JobId& id, int status, const std::string& why, Responder done);
   void strongRead(const JobId& id, Responder done);
   HttpResponse ended(const JobId& id, const KnownJob& job) const;
+  HttpResponse relayed(const JobId& id, const mesh::Answer& a) const;
   void withdrawKnown(const JobId& id, ShareNo share, Responder done);
 
   const Settings& settings_;
--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -77,13 +77,22 @@
     return p.type == r.type && p.zone == r.zone && p.spot == r.spot;
   });
   if (pool == pools_.end())
-    pool = pools_.insert(pools_.end(), {r.type, r.zone, r.spot, h.size, h.fetchGbPerS, 0, {}});
+    pool = pools_.insert(pools_.end(), {r.type, r.zone, r.spot, h.size, h.fetchGbPerS, 0, 0, {}});
   ++pool->machines;
   h.pool = &*pool;
   h.idleSince = h.lastHeard = now;
   return h;
 }
 
+void Books::learnType(Host& h, const MachineType& type) {
+  h.size = type.size;
+  h.fetchGbPerS = type.fetchGbPerS;
+  h.images = ImageCache(type.cacheGb);
+  h.pool->size = h.size;
+  h.pool->fetchGbPerS = h.fetchGbPerS;
+  reindex(h);
+}
+
 void Books::removeHost(const HostId& id) {
   auto it = hosts_.find(id);
   if (it == hosts_.end()) return;
@@ -140,6 +149,7 @@
   t.host = &host;
   ++job.placed;
   job.begun = true;
+  job.placedLast = now;
   reindex(host);
   return p;
 }
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -45,12 +45,13 @@
   std::deque<std::uint32_t> waiting;
   std::map<Zone, unsigned> zones;  // its tasks by zone, as the placement rules count them
   std::uint32_t done = 0, placed = 0, running = 0;
-  Time since{};            // when this controller learnt of it
-  bool begun = false;      // a task of it was placed once
-  bool avoidSpot = false;  // in this turn
-  unsigned lost = 0;       // tasks that were to go on and are gone
-  std::set<HostId> failedOn;
-  unsigned failures = 0;  // in a row
+  Time since{};                     // when this controller learnt of it
+  Time placedLast{};                // when a task of it was placed last
+  bool begun = false;               // a task of it was placed once
+  bool avoidSpot = false;           // in this turn
+  unsigned lost = 0;                // tasks that were to go on and are gone
+  std::map<HostId, Time> failedOn;  // machines that failed a task of it, and when they last did
+  unsigned failures = 0;            // in a row
   Time notBefore{};
   Time anyStartUntil{};  // till then it does not wait for room on machines that have its image
 
@@ -96,6 +97,7 @@
   Resources size;
   double fetchGbPerS = 0;
   std::size_t machines = 0;  // open or not
+  std::size_t booting = 0;   // never heard yet, when last counted
   std::map<std::pair<double, std::uint32_t>, Host*> byRoom;
 };
 
@@ -189,8 +191,11 @@
   void setPhase(Placement& p, wire::TaskPhase phase, Time now);
   void cached(Host& host, const ImageId& image, double gb);
   // To be told after anything that Host::open() depends on has changed.
+  // Its type was not in the catalog when it came.
+  void learnType(Host& h, const MachineType& type);
   void reindex(Host& host);
   const std::list<Pool>& pools() const { return pools_; }
+  std::list<Pool>& pools() { return pools_; }
   const std::vector<Host*>& openHosts() const { return open_; }
 
   Resources teamUse(const TeamId& team) const;
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -101,11 +101,12 @@
   return ends;
 }
 
-void Directory::aborted(const JobId& id, Stamp stamp) {
+void Directory::ended(const JobId& id, JobStatus status, Stamp stamp) {
   auto it = jobs.find(id);
   if (it == jobs.end() || it->second.status != JobStatus::Open || it->second.stamp > stamp) return;
-  it->second.status = JobStatus::Aborted;
+  it->second.status = status;
   it->second.stamp = stamp;
+  if (status == JobStatus::Done) it->second.spec.reset();
 }
 
 std::vector<HostId> Directory::apply(const wire::KeyChange& c, const Log& log) {
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -58,8 +58,8 @@
   // What ends the tasks that a report shows of jobs that are called off. Any answer that prolongs a worker's
   // lease carries it, whoever gives that answer and in whatever role (invariant 16).
   std::vector<wire::Order> endsOfAborted(const wire::Report& r) const;
-  // A sibling's word that the job was called off: committed under that stamp, and final.
-  void aborted(const JobId& id, Stamp stamp);
+  // The word of the owner of the job's share that it is over: committed under that stamp, and final.
+  void ended(const JobId& id, JobStatus status, Stamp stamp);
   // A machine group as it is known, to be written anew with a change.
   wire::GroupRecord group(const std::string& key) const;
 
--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -16,10 +16,12 @@
 constexpr Duration kAdoptTogether{1'000};
 constexpr double kNeverUp = 3.0;  // boot times after which a starting machine is given up
 constexpr double kNeverUpPlusS = 20;
+constexpr double kNeverListedPlusS = 10;
 constexpr double kLateBoot = 2.0;  // boot times after which it is no longer counted on
 constexpr double kMinIdleS = 10;
-constexpr double kMinAgeS = 60;  // what the cloud charges at least
-constexpr double kSettleS = 5;   // a new leader looks before it acts
+constexpr double kMinAgeS = 60;    // what the cloud charges at least
+constexpr double kNotYetTold = 3;  // a record so young may not be in its owner's load yet
+constexpr double kSettleS = 5;     // a new leader looks before it acts
 constexpr std::size_t kMostReturns = 100;
 constexpr std::size_t kMostAsking = 16;  // machines that turned up, asked at a time
 constexpr unsigned kMostLetGo = 20;      // idle machines of a share in a turn
@@ -203,6 +205,14 @@
       markReturning(id, "not listed any more");
     ++it;
   }
+  // One that was gone before any list named it.
+  if (listedAt_ < ledSince_) return;
+  auto listAge = inSeconds(now - listedAt_);
+  for (const auto& [id, h] : dir_.hosts) {
+    if (h.record.phase != wire::HostPhase::InUse || listed_.count(id) > 0) continue;
+    double age = static_cast<double>(io_.wall().value - h.record.since.value) / 1000.0 - listAge;
+    if (age > 4 * settings_.listLagS + kNeverListedPlusS) markReturning(id, "was never listed");
+  }
 }
 
 void Fleet::adopt(const HostId& id, wire::HostRecord record) {
@@ -373,7 +383,7 @@
     if (it == shown.end()) {
       // In plain use, as the owner does not name it; or not yet seen by it.
       h.counts = state != loads_.end() || boots;
-      h.usedCores = h.cores;
+      h.usedCores = age < kNotYetTold ? 0 : h.cores;
       h.pinned = true;
     } else {
       h.emptying = it->second->emptying;
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -157,12 +157,9 @@
 void Node::lost(ShareNo k) { schedulers_.erase(k); }
 
 void Node::jobEnded(const JobId& id, JobStatus s, Stamp stamp) {
-  auto& j = dir_.jobs[id];
-  j.status = s;
-  j.stamp = stamp;
-  if (s == JobStatus::Done) j.spec.reset();
-  // Whoever answers workers should know before the user does; that the bound holds does not hang on it.
-  if (s == JobStatus::Aborted) peers_.sendAll(mesh::JobAborted{id.value, stamp.value});
+  dir_.ended(id, s, stamp);
+  // Whoever answers workers or users should know before the user does; no bound hangs on it.
+  peers_.sendAll(mesh::JobEnded{id.value, s == JobStatus::Done, stamp.value});
 }
 
 void Node::sendLoad(const mesh::ShareLoad& l) {
@@ -200,8 +197,8 @@
     if (auto report = wire::parseReport(seen->body)) fleet_.hostSeen(*report);
   } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
     fleet_.load(*load);
-  } else if (const auto* over = std::get_if<mesh::JobAborted>(&p)) {
-    dir_.aborted(JobId{over->job}, Stamp{over->stamp});
+  } else if (const auto* over = std::get_if<mesh::JobEnded>(&p)) {
+    dir_.ended(JobId{over->job}, over->done ? JobStatus::Done : JobStatus::Aborted, Stamp{over->stamp});
   } else if (const auto* w = std::get_if<mesh::HostWish>(&p)) {
     if (auto* s = scheduler(ShareNo{w->share})) s->wish(*w);
   }
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kBusyNamed = 16;
 constexpr Duration kArrivalsKept{120'000};
 constexpr Duration kLeavingKept{20'000};
+constexpr Duration kZoneIsFull{
+    10'000};  // a job that waits so long for its zone is not helped by what is there
+constexpr unsigned kLooked = 64;
 
 // "run/<share>/<page>"
 std::optional<PageNo> parsePageKey(const std::string& key, const std::string& prefix) {
@@ -212,7 +215,9 @@
   if (!loaded_ || !owns()) return std::nullopt;
   auto it = books_.jobs().find(id);
   if (it == books_.jobs().end() || it->second.status != JobStatus::Open) return std::nullopt;
-  // Its end is on its way or in doubt: a sibling may have seen it, and told the user, before us.
+  // Its end is on its way or in doubt, or the share is: a sibling may have seen it, and told the user, before
+  // us.
+  if (gaveUpShare_) return std::nullopt;
   if (flight_ &&
       std::any_of(flight_->ended.begin(), flight_->ended.end(), [&](const auto& e) { return e.first == id; }))
     return std::nullopt;
@@ -249,6 +254,8 @@
   for (auto& [id, h] : books_.hosts()) {
     watchSilence(h, now);
     if (!owns()) continue;
+    if (h.size.cores <= 0)
+      if (const auto* type = findType(dir_.catalog, h.known.record.type)) books_.learnType(h, *type);
     settleEmptying(h);
     if (h.attention) direct(h);
   }
@@ -294,14 +301,28 @@
       spans_.toShown.take());
 }
 
-// Zones that the job's next task may go to, if no machine in any of them could ever take it.
+namespace {
+bool hasRoom(const Pool& p, const Resources& each) {
+  auto at = p.byRoom.lower_bound({each.cores - 1e-6, 0});
+  for (unsigned looked = 0; at != p.byRoom.end() && looked < kLooked; ++at, ++looked)
+    if (each.fitsIn(at->second->free())) return true;
+  return false;
+}
+}  // namespace
+
+// Zones that the job's next task may go to, if no machine in any of them could ever take it or, once it has
+// waited for a while, can take it now.
 void Scheduler::stuckZones(const Job& job, mesh::Demand& d) const {
   std::vector<std::string> open;
+  bool full = io_.now() - std::max(job.since, job.placedLast) > kZoneIsFull;
   for (const auto& z : settings_.zones) {
     if (!zoneAllows(job, z)) continue;
-    for (const auto& p : books_.pools())
-      if (p.zone == z && p.machines > 0 && job.spec->each.fitsIn(p.size) && (!p.spot || job.spec->lendable))
-        return;
+    for (const auto& p : books_.pools()) {
+      const auto& s = *job.spec;
+      bool fits = p.zone == z && s.allowsType(p.type) && s.each.fitsIn(p.size) && (!p.spot || s.lendable);
+      // One that boots is on its way; of others, after a while, only those with room count.
+      if (fits && (full ? p.booting > 0 || hasRoom(p, s.each) : p.machines > 0)) return;
+    }
     open.push_back(z.value);
   }
   d.stuckZones = std::move(open);
@@ -312,6 +333,10 @@
   mesh::ShareLoad load;
   load.share = taken_.share.value;
   load.epoch = taken_.epoch.value;
+  for (auto& p : books_.pools()) p.booting = 0;
+  for (auto& [_, h] : books_.hosts())
+    h.pool->booting +=
+        !h.heard && h.known.record.address.empty() && h.known.record.phase == wire::HostPhase::InUse;
   std::map<const mesh::Demand*, std::pair<double, double>> left;  // core seconds and cores not done yet
   for (auto& [id, job] : books_.jobs()) {
     auto& d = job.spec->lendable ? load.lendable : load.firm;
@@ -327,7 +352,8 @@
     left[&d].second += cores;
     if (each.cores > 0) d.ramPerCore = std::max(d.ramPerCore, each.ram / each.cores);
     if (job.spec->types) d.types = *job.spec->types;
-    if (!job.waiting.empty() && (job.spec->spread || job.spec->zone || job.spec->oneZone)) stuckZones(job, d);
+    bool waits = !job.waiting.empty() && limit >= each.cores - 1e-6 && now >= job.notBefore;
+    if (waits && (job.spec->spread || job.spec->zone || job.spec->oneZone)) stuckZones(job, d);
   }
   while (!arrivals_.empty() && now - arrivals_.front().at > kArrivalsKept) arrivals_.pop_front();
   for (const auto& a : arrivals_) {
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -124,7 +124,8 @@
   void dropHost(const HostId& id);
   void sendLoad();
   void stuckZones(const Job& job, mesh::Demand& d) const;
-  bool zoneAllows(const Job& job, const Zone& zone) const;
+  // come: tasks of it that are to go there already.
+  bool zoneAllows(const Job& job, const Zone& zone, unsigned come = 0) const;
 
   // Rounds.
   void wake(bool everywhere, const HostId* at = nullptr);
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -167,7 +167,6 @@
     }
     hosts.insert(hostId);
   }
-  for (const auto& id : hosts) direct(*books_.host(id));
   for (const auto& [id, status] : f.ended) {
     Job* j = books_.job(id);
     j->status = status;
@@ -178,16 +177,20 @@
     if (status == JobStatus::Aborted) {
       lastAborted_ = std::max(lastAborted_, r.revision);
       j->waiting.clear();
-      std::set<HostId> on;
+      std::vector<std::pair<Host*, TaskId>> placed;
       for (std::uint32_t i = 0; i < j->tasks.size(); ++i)
-        if (Host* h = j->tasks[i].host) {
-          stop(*h, TaskId{id, i}, h->placements.at(TaskId{id, i}));
-          on.insert(h->id);
-        }
-      for (const auto& h : on) direct(*books_.host(h));
+        if (Host* h = j->tasks[i].host) placed.emplace_back(h, TaskId{id, i});
+      // The job leaves the books with the last of them that was never sent.
+      for (const auto& [h, task] : placed) {
+        hosts.insert(h->id);
+        if (auto it = h->placements.find(task); it != h->placements.end()) stop(*h, task, it->second);
+      }
     }
-    cleanUp(*j);
+    if (Job* left = books_.job(id)) cleanUp(*left);
   }
+  // Only now: a start must not go out beside the end of its own job.
+  for (const auto& id : hosts)
+    if (Host* h = books_.host(id)) direct(*h);
   wake(false);
 }
 
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t kMostAsking = 64;   // questions without orders under way at a time
 constexpr unsigned kFailuresToBackOff = 3;
 constexpr std::size_t kFailedJobsToDrain = 2;
+constexpr std::size_t kMachinesToBlame = 2;
 
 }  // namespace
 
@@ -87,7 +88,9 @@
     return false;
   }
   // Late reports never undo newer knowledge (invariant 4).
-  if (std::pair(r.tenure, r.serial) <= std::pair(h.tenure, h.serial) || r.tenure <= h.expiredTenure) {
+  // Nor does one that shows a lower token than the worker has shown: it is a copy of the former worker's.
+  if (std::pair(r.tenure, r.serial) <= std::pair(h.tenure, h.serial) || r.tenure <= h.expiredTenure ||
+      r.token < h.seen) {
     // Or the machine began anew and counts from one again: its own answer to a question tells.
     if (r.token < h.seen && checkIn) h.directAgain = h.attention = true;
     return false;
@@ -219,12 +222,19 @@
   switch (t.cause) {
     case ExitCause::Error: {
       // A job that fails everywhere backs off; a machine on which several sound jobs fail is drained.
-      job.failedOn.insert(h.id);
-      if (++job.failures >= kFailuresToBackOff) {
+      // Many tasks that one faulty machine fails together count once.
+      bool another = job.failedOn.insert_or_assign(h.id, now).second;
+      if (another || job.failedOn.size() >= books_.hosts().size()) ++job.failures;
+      if (job.failures >= kFailuresToBackOff) {
         auto exponent = std::min(job.failures - kFailuresToBackOff, 6u);
         job.notBefore = now + std::min(Duration{1000} * (1 << exponent), Duration{60'000});
       }
-      if (job.failedOn.size() <= 2) h.failedJobs.insert(job.id);
+      // A job that fails on a third machine is to blame itself.
+      if (job.failedOn.size() <= kMachinesToBlame)
+        h.failedJobs.insert(job.id);
+      else if (another)
+        for (const auto& [id, _] : job.failedOn)
+          if (Host* x = books_.host(id)) x->failedJobs.erase(job.id);
       if (h.failedJobs.size() >= kFailedJobsToDrain && !h.leaving) {
         log_->info("{} fails jobs and is given up", h.id.value);
         h.leaving = true;
@@ -422,7 +432,8 @@
     bool ends = spec.shape == Shape::Array && spec.expectS - ran < *r.reclaimInS;
     if (p.wanted && !ends) move.push_back(task);
   }
-  for (const auto& task : move) stop(h, task, h.placements.at(task));
+  for (const auto& task : move)  // a gang's others go with the first
+    if (auto it = h.placements.find(task); it != h.placements.end()) stop(h, task, it->second);
   books_.reindex(h);
   direct(h);
 }
--- a/src/actors/scheduler_moves.cpp
+++ b/src/actors/scheduler_moves.cpp
@@ -36,7 +36,8 @@
 
 // The machine's replicas, if all of them could move to machines that have their image and so be back at once.
 std::optional<std::vector<TaskId>> Scheduler::movableReplicas(const Host& h) const {
-  std::map<std::uint32_t, Resources> room;  // less what moves there
+  std::map<std::uint32_t, Resources> room;               // less what moves there
+  std::map<std::pair<const Job*, Zone>, unsigned> come;  // replicas that move into a zone
   std::vector<TaskId> move;
   for (const auto& [task, p] : h.placements) {
     const auto& spec = *p.job->spec;
@@ -47,13 +48,14 @@
       if (x == &h || !x->open() || ++looked > settings_.tuning.sample) continue;
       auto free = room.try_emplace(no, x->free()).first->second;
       // Within its zone it changes nothing for the zones' rules; elsewhere they must allow one more.
-      bool zoneFits = x->zone() == h.zone() || zoneAllows(*p.job, x->zone());
+      bool zoneFits = x->zone() == h.zone() || zoneAllows(*p.job, x->zone(), come[{p.job, x->zone()}]);
       if (!spec.each.fitsIn(free) || !allowedKind(*p.job, *x) || !zoneFits) continue;
       to = x;
       break;
     }
     if (!to) return std::nullopt;
     room[to->no] -= spec.each;
+    if (to->zone() != h.zone()) ++come[{p.job, to->zone()}];
     move.push_back(task);
   }
   return move;
@@ -71,7 +73,8 @@
     return;
   }
   log_->info("moving {} replicas off {}", move->size(), h.id.value);
-  for (const auto& task : *move) stop(h, task, h.placements.at(task));
+  for (const auto& task : *move)
+    if (auto it = h.placements.find(task); it != h.placements.end()) stop(h, task, it->second);
   direct(h);
 }
 
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
 constexpr double kOverdueS = 90;      // a job that has not begun by then has a turn before all others
 constexpr Duration kBetweenRounds{30};
+constexpr Duration kAfterFailure{45'000};  // for how long a job keeps off a machine that failed a task of it
 constexpr double kLongRun = 0.7;  // part of what its aim allows that makes a task too long for a spot machine
 constexpr double kLostRun = 0.5;  // the same for age and run of a job that lost a task already
 constexpr double kNoHope = 1.3;
@@ -192,14 +193,14 @@
     if (Host* h = books_.host(id)) direct(*h);
 }
 
-bool Scheduler::zoneAllows(const Job& job, const Zone& zone) const {
+bool Scheduler::zoneAllows(const Job& job, const Zone& zone, unsigned come) const {
   const auto& s = *job.spec;
   if (s.zone && *s.zone != zone) return false;
   if (s.oneZone && !job.zones.empty() && (job.zones.size() > 1 || job.zones.begin()->first != zone))
     return false;
   if (!s.spread) return true;
   auto it = job.zones.find(zone);
-  return it == job.zones.end() || it->second + 1 <= (s.tasks + 1) / 2;
+  return (it == job.zones.end() ? 0 : it->second) + come + 1 <= (s.tasks + 1) / 2;
 }
 
 // Whether some machine could take the job's next task now, whatever the draw says.
@@ -281,7 +282,9 @@
 bool Scheduler::allowedKind(const Job& job, const Host& h) const {
   const auto& s = *job.spec;
   if (!s.allowsType(h.known.record.type) || (h.spot() && (!s.lendable || job.avoidSpot))) return false;
-  return job.failedOn.count(h.id) == 0 || job.failedOn.size() >= books_.hosts().size();
+  auto failed = job.failedOn.find(h.id);
+  return failed == job.failedOn.end() || io_.now() - failed->second > kAfterFailure ||
+         job.failedOn.size() >= books_.hosts().size();
 }
 
 // Which of two machines with room a task should rather go to, the image aside.
@@ -385,7 +388,7 @@
   spans_.counts.looked += picked.size();
   double withRoom = 0, holding = 0;
   for (auto i : picked) {
-    if (!job.spec->each.fitsIn(owned[i]->free())) continue;
+    if (!job.spec->each.fitsIn(owned[i]->free()) || !allowed(job, *owned[i])) continue;
     ++withRoom;
     holding += job.holders->count(owned[i]->no) > 0;
   }
@@ -473,7 +476,9 @@
       // The holders are spoken for: the rest need not wait for them.
       if (tooSlow(job, *best)) job.anyStartUntil = io_.now() + kAnyStart;
       for (auto i : cheapest->victims) {
-        auto& p = best->placements.at(bestTasks[i]);
+        auto victim = best->placements.find(bestTasks[i]);
+        if (victim == best->placements.end()) continue;  // it went with another member of its gang
+        auto& p = victim->second;
         log_->debug("{} gives way on {} to {}", wire::encodeTask(bestTasks[i]), best->id.value, job.id.value);
         roomOf(*best) += p.job->spec->each;
         stop(*best, bestTasks[i], p);
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t kLargestValue = 40 * 1024;
+
 const json& need(const json& object, const char* name, json::value_t type, const char* what) {
   if (!object.is_object() || !object.contains(name))
     throw SettingsError(std::string("settings: field '") + name + "' is missing");
@@ -172,7 +174,8 @@
   const auto& st = object(d, "state");
   s.stateRps = number(st, "rps", 1, big);
   s.stateWriteRps = number(st, "write_rps", 1, big);
-  s.valueBytes = static_cast<std::size_t>(number(st, "value_kb", 1, 1024) * 1024);
+  // A page and what goes with it must fit a transaction.
+  s.valueBytes = std::min(static_cast<std::size_t>(number(st, "value_kb", 1, 1024) * 1024), kLargestValue);
   s.txnOps = static_cast<unsigned>(number(st, "txn_ops", 4, 10000));
   const auto& c = object(d, "cloud");
   s.cloudRps = number(c, "rps", 0.01, big);
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -82,13 +82,14 @@
   }
 };
 
-// To everybody: a cancellation that is committed and about to be confirmed. Nothing depends on its arrival.
-struct JobAborted {
+// To everybody: a job's end that is committed and about to be told to users. No bound depends on its arrival.
+struct JobEnded {
   std::string job;
+  bool done = false;  // or aborted
   std::uint64_t stamp = 0;
   template <class A>
   void serialize(A& a) {
-    a(job, stamp);
+    a(job, done, stamp);
   }
 };
 
@@ -171,7 +172,7 @@
 };
 
 using Payload =
-    std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish, JobAborted>;
+    std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish, JobEnded>;
 
 struct Frame {
   std::uint32_t from = 0;
