A share's pages are numbered without using a number again

Cause: a commit that only begins new pages is conditioned on their absence and on the share's stamp. Sent again after no answer it is carried out once; its first try can be carried out late once its pages have been dropped, and the page is back. The next page of that number then conflicted, and the owner gave up its books for it.

What it can't do: break a rule. The page says what was true when it was written, as any page does that was not written anew: done is final, of attempts the latest counts, and what is long gone settles by reports after a takeover. A transaction that also ends a job, drops a page or writes an old one fails on a stamp; after a takeover all do, on the share's.

Mended: numbers go up. Unit test Pages.NoNumberIsUsedAgain failed before and passes.

--- a/src/actors/pages.cpp
+++ b/src/actors/pages.cpp
@@ -8,8 +8,8 @@
     if (taken.count(p.first) == 0 && p.second.live <= enough_ && (!best || p.second.live < best->second.live))
       best = &p;
   if (best) return best->first;
-  PageNo n = pages_.empty() ? 0 : pages_.rbegin()->first + 1;
-  pages_[n];
+  auto n = next_;
+  at(n);
   return n;
 }
 
--- a/src/actors/pages.h
+++ b/src/actors/pages.h
@@ -2,6 +2,7 @@
 // become untrue is the next to be written, and so takes in new ones at the cost of one change.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,7 +24,10 @@
   };
   explicit Pages(std::size_t valueBytes) : enough_(valueBytes / 80) {}
 
-  Page& at(PageNo n) { return pages_[n]; }
+  Page& at(PageNo n) {
+    next_ = std::max(next_, n + 1);
+    return pages_[n];
+  }
   // The emptiest page, or a new one while all are more than half full.
   PageNo next(const std::set<PageNo>& taken);
   // One that holds nothing any more, if so many are there that it is not worth keeping.
@@ -34,6 +38,7 @@
  private:
   std::size_t enough_;  // facts that make a page half full
   std::map<PageNo, Page> pages_;
+  PageNo next_ = 0;  // never one that was dropped: its first write may be carried out again, late
 };
 
 }  // namespace cherryloft
--- /dev/null
+++ b/tests/unit/pages_test.cpp
@@ -0,0 +1,16 @@
+// Which page of a share is written next.
+#include <gtest/gtest.h>
+
+#include "actors/pages.h"
+
+using namespace cherryloft;
+
+// A page's first write may be carried out again, late, after the page was dropped: nothing may depend on its
+// absence.
+TEST(Pages, NoNumberIsUsedAgain) {
+  Pages pages(16 * 1024);
+  auto n = pages.next({});
+  pages.at(n).stamp = Stamp{5};
+  pages.drop(n);
+  EXPECT_NE(pages.next({}), n);
+}
