--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -289,16 +289,28 @@
 std::string Scheduler::account() {
   std::size_t open = 0, waiting = 0;
   for (const auto& [_, j] : books_.jobs()) open += j.open(), waiting += j.waiting.size();
+  std::size_t booting = 0, silent = 0, doubtful = 0, emptying = 0, leaving = 0;  // why machines are not open
+  for (const auto& [_, h] : books_.hosts()) {
+    if (h.open()) continue;
+    bool goes = h.leaving || h.reclaimAt || h.known.record.phase != wire::HostPhase::InUse;
+    (goes                                         ? leaving
+     : h.emptying                                 ? emptying
+     : !h.heard && h.known.record.address.empty() ? booting
+     : !h.heard || h.stale                        ? silent
+                                                  : doubtful) += 1;
+  }
   auto n = spans_.counts.starts - accounted_.starts, looked = spans_.counts.looked - accounted_.looked;
   accounted_ = spans_.counts;
   return fmt::format(
-      "share {}: {} jobs, {} tasks waiting, {} machines ({} open), {} pages; {} starts in {} rounds, widest "
+      "share {}: {} jobs, {} tasks waiting, {} machines ({} open, {} booting, {} silent, {} in doubt, {} "
+      "emptying, {} "
+      "leaving), {} pages; {} starts in {} rounds, widest "
       "{}, "
       "{} machines looked at, {} stopped for others; ms to placed {}; to committed {}; to shown {}",
-      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(),
-      books_.pages().count(), n, std::exchange(spans_.rounds, 0), std::exchange(spans_.widest, 0), looked,
-      std::exchange(spans_.evicted, 0), spans_.toPlaced.take(), spans_.toCommitted.take(),
-      spans_.toShown.take());
+      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(), booting, silent,
+      doubtful, emptying, leaving, books_.pages().count(), n, std::exchange(spans_.rounds, 0),
+      std::exchange(spans_.widest, 0), looked, std::exchange(spans_.evicted, 0), spans_.toPlaced.take(),
+      spans_.toCommitted.take(), spans_.toShown.take());
 }
 
 namespace {
