Fix: machines on their way to another share count there, returns do not wait for moves

They were asked to move or to go, and their records were not written: each move draws an epoch, for which three shares compete (half of the writes conflicted on share/epoch, and with them the returns in the same transaction); and the leader, not seeing them arrive, asked for ever more, also both ways between two shares.

Now a machine that was asked to move counts as coming for 20 s or until its record says so, and what goes back to the cloud is written apart from moves, in turn with them.

Left: the leader's own share still had up to 246 machines waiting for a record.

--- a/src/actors/fleet.cpp
+++ b/src/actors/fleet.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kLoadStale{5'000};
 constexpr Duration kAskAgain{5'000};
 constexpr Duration kCedeAgain{20'000};
+constexpr Duration kMoveTakes{20'000};  // after which a machine asked to move is taken to stay
 constexpr Duration kFirstRefusal{8'000}, kMostRefusal{30'000};
 constexpr Duration kAdoptTogether{1'000};
 constexpr double kNeverUp = 3.0;  // boot times after which a starting machine is given up
@@ -576,6 +577,20 @@
   }
 }
 
+// Cores of machines that were asked to move to a share and are not recorded there yet: a record may take its
+// time, and a share that waits for it must not be sent ever more machines.
+double Fleet::comingTo(ShareNo to) {
+  double cores = 0;
+  std::erase_if(moving_, [&](const auto& m) {
+    auto h = dir_.hosts.find(m.first);
+    return h == dir_.hosts.end() || h->second.record.share == m.second.to ||
+           io_.now() - m.second.at > kMoveTakes;
+  });
+  for (const auto& [_, m] : moving_)
+    if (m.to == to) cores += m.cores;
+  return cores;
+}
+
 // The design's rebalancing: idle machines of shares that can spare them go to waiting work. Between two beats
 // the same is done for one machine a share and turn, on request (DESIGN.md, exceptions).
 void Fleet::move(const std::map<ShareNo, policy::ShareFleet>& fleets,
@@ -583,7 +598,7 @@
   auto now = io_.now();
   for (auto to : byPressure(fleets, targets)) {
     const auto& need = fleets.at(to);
-    double missing = need.firm.waiting + need.lendable.waiting;
+    double missing = need.firm.waiting + need.lendable.waiting - comingTo(to);
     for (const auto& [from, spare] : fleets) {
       if (from == to) continue;
       const auto& t = targets.at(from);
@@ -599,6 +614,7 @@
         if (!h.emptying) left -= type->size.cores;
         missing -= type->size.cores;
         h.idleS = 0;
+        moving_[HostId{h.host}] = {to, now, type->size.cores};
         log_->info("moving {} from share {} to {}", h.host, from.value, to.value);
         out_.wish({from.value, h.host, mesh::HostWish::Move, to.value});
         if (!beat) break;
--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -63,6 +63,7 @@
   std::vector<ShareNo> byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
                                   const std::map<ShareNo, policy::Targets>& targets) const;
   void emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
+  double comingTo(ShareNo to);
   void move(const std::map<ShareNo, policy::ShareFleet>& fleets,
             const std::map<ShareNo, policy::Targets>& targets, bool beat);
   void startRental(ShareNo k, const policy::Wish& wish);
@@ -113,6 +114,12 @@
   std::map<HostId, wire::HostRecord> waitingAdoption_;
   Time adoptAt_{};
   std::set<HostId> returned_;
+  struct Moving {
+    ShareNo to;
+    Time at;
+    double cores;
+  };
+  std::map<HostId, Moving> moving_;
   std::map<ShareNo, Time> cededAt_;
   std::map<HostId, Time> asked_;  // machines whose owner was told to give them up
 };
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -217,7 +217,8 @@
   };
   std::optional<InFlight> flight_;
 
-  bool recordsBusy_ = false;  // a write of host/ keys is on its way
+  bool recordsBusy_ = false;   // a write of host/ keys is on its way
+  bool recordsMoved_ = false;  // the last one was of moves
   Time recordsNotBefore_{};
   Time addressSince_{};         // since when some address is not written
   std::size_t asking_ = 0;      // questions to machines that carry no orders
--- a/src/actors/scheduler_moves.cpp
+++ b/src/actors/scheduler_moves.cpp
@@ -105,6 +105,13 @@
     }
   }
   if (changes.empty()) return;
+  // A move draws an epoch, for which shares compete; what only goes back does not wait for that.
+  bool anyMoves =
+      std::any_of(changes.begin(), changes.end(), [](const auto& c) { return !c.second.moved.empty(); });
+  bool anyElse =
+      std::any_of(changes.begin(), changes.end(), [](const auto& c) { return c.second.moved.empty(); });
+  bool moves = anyMoves && (!anyElse || !recordsMoved_);
+  recordsMoved_ = moves;
   wire::Transaction t;
   std::size_t weight = 0;
   t.when[keys::share(taken_.share)] = taken_.stamp;
@@ -113,6 +120,7 @@
   auto most = store_.unhurried();
   for (const auto& [key, c] : changes) {
     if (!t.apply.empty() && t.apply.size() >= most) break;
+    if (c.moved.empty() == moves) continue;
     if (t.apply.size() + 2 + c.moved.size() > settings_.txnOps ||
         weight + 2 * settings_.valueBytes > wire::kMostWeight)
       break;
