--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -27,7 +27,14 @@
   LoneIo io;
   StateStore store{settings, io, silentLog(), 1};
   Directory dir;
-  Fleet fleet{settings, io, silentLog(), store, dir, 1, {[](const mesh::HostWish&) {}, [] { return true; }}};
+  Fleet fleet{settings,
+              io,
+              silentLog(),
+              store,
+              dir,
+              1,
+              {[this](const mesh::HostWish& w) { wishes.push_back(w); }, [] { return true; }}};
+  std::vector<mesh::HostWish> wishes;
 
   Leader() {
     dir.leader = KnownOwner{{settings.node, Epoch{7}}, Stamp{70}};
@@ -77,3 +84,35 @@
   ASSERT_GT(all.size(), before.size());
   EXPECT_EQ(std::set<std::string>(all.begin(), all.end()).size(), all.size());
 }
+
+// A move takes its time, as its record waits for a turn: the share that waits for it is not sent ever more
+// machines.
+TEST_F(Leader, MachinesOnTheirWayToAShareCountThere) {
+  mesh::ShareLoad from;
+  from.share = 1;
+  for (int i = 0; i < 20; ++i) {
+    HostId id{"host-" + std::to_string(i)};
+    KnownHost& h = dir.hosts[id];
+    h.record.share = ShareNo{1};
+    h.record.type = "m";
+    h.record.zone = settings.zones[0];
+    h.group = "host/" + id.value;
+    from.hosts.push_back({id.value, "m", settings.zones[0].value, false, 16, 30, true});
+  }
+  mesh::ShareLoad to;
+  to.firm.waiting = 60;
+  to.firm.largestTask = 4;
+  to.firm.runS = 30;
+  fleet.leading(true);
+  for (int s = 0; s < 20; ++s) {
+    fleet.load(to);
+    for (const auto& w : wishes)
+      for (auto& h : from.hosts)
+        if (h.host == w.host) h.usable = false, h.draining = true;
+    fleet.load(from);
+    io.clock.run(io.clock.now() + 1000);
+  }
+  auto moves = std::count_if(wishes.begin(), wishes.end(),
+                             [](const auto& w) { return w.kind == mesh::HostWish::Move && w.toShare == 0; });
+  EXPECT_EQ(moves, 4);  // of 16 cores each, for 60
+}
