Fix: blame for failed tasks needs contrast; jobs without room go to a share that has it

Two mends in one commit, as they touch the same lines of the scheduler.

broken_jobs: two jobs with a mistake that had each failed on one machine only were enough to give that machine up. Until then the job keeps off the machine and the machine works on. A job that never worked is tried with one task at a time, and wants no room between tries.

Ruled out: moving busy machines, as with two machines and three teams somebody is always stopped for nothing, and lending part of a machine, as two owners would then command one session.

--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -39,6 +39,7 @@
   j.stamp = known.stamp;
   j.submitted = known.submitted;
   j.status = known.status;
+  j.atOnce = known.atOnce;
   j.tasks.assign(known.tasks, Task{});
   byTeam_[j.spec->team][{j.submitted, id}] = &j;
   if (j.status == JobStatus::Open)
@@ -218,6 +219,7 @@
 
 bool Books::withinLimit(const Job& job) const {
   if (!job.team) return false;
+  if (job.atOnce) return job.placed < *job.atOnce;  // its team's own share counts it (invariant 17)
   auto sum = teamUse(job.spec->team) + job.spec->each;
   sum.ram = 0;
   return sum.fitsIn({job.team->coresMax, job.team->gpusMax, 0});
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -45,14 +45,14 @@
   std::deque<std::uint32_t> waiting;
   std::map<Zone, unsigned> zones;  // its tasks by zone, as the placement rules count them
   std::uint32_t done = 0, placed = 0, running = 0;
-  Time since{};                     // when this controller learnt of it
-  Time placedLast{};                // when a task of it was placed last
-  bool begun = false;               // a task of it was placed once
-  bool avoidSpot = false;           // in this turn
-  unsigned lost = 0;                // tasks that were to go on and are gone
-  std::map<HostId, Time> failedOn;  // machines that failed a task of it, and when they last did
-  unsigned failures = 0;            // in a row
+  Time since{};            // when this controller learnt of it
+  Time placedLast{};       // when a task of it was placed last
+  bool begun = false;      // a task of it was placed once
+  bool avoidSpot = false;  // in this turn
+  unsigned lost = 0;       // tasks that were to go on and are gone
   Time notBefore{};
+  std::optional<std::uint32_t>
+      atOnce;            // of a job of another share's team: its tasks that may be placed at a time
   Time anyStartUntil{};  // till then it does not wait for room on machines that have its image
 
   bool open() const { return status == JobStatus::Open && !abortAsked; }
@@ -136,7 +136,6 @@
   std::optional<std::int32_t> giveTo;  // share, or -1 for the cloud
   bool returnNow = false;              // to the cloud whatever is on it
   std::string address;                 // as it says itself
-  std::set<JobId> failedJobs;
   Time idleSince{};
   bool attention = true;  // has orders to be sent, or is to be asked
 
@@ -199,6 +198,9 @@
   const std::vector<Host*>& openHosts() const { return open_; }
 
   Resources teamUse(const TeamId& team) const;
+  // What tasks of the team take on another share's machines, or may take.
+  void countElsewhere(const TeamId& team, const Resources& sum) { use_[team] += sum; }
+  void uncountElsewhere(const TeamId& team, const Resources& sum) { use_[team] -= sum; }
   // Whether one more task keeps its team within the limit.
   bool withinLimit(const Job& job) const;
   bool aboveGuarantee(const Team& team) const;
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -119,8 +119,13 @@
     }
     auto& j = jobs[id];
     if (j.stamp > c.stamp || j.status != JobStatus::Open) return {};  // terminal is final
-    j = {r->status,    r->share, r->tasks,
-         r->submitted, c.stamp,  r->spec ? std::make_shared<const JobSpec>(std::move(*r->spec)) : nullptr};
+    j.status = r->status;
+    j.share = r->share;
+    j.tasks = r->tasks;
+    j.submitted = r->submitted;
+    j.stamp = c.stamp;
+    j.atOnce = r->atOnce;
+    j.spec = r->spec ? std::make_shared<const JobSpec>(std::move(*r->spec)) : nullptr;
   } else if (under(c.key, keys::kHosts)) {
     return applyGroup(c, log);
   } else if (under(c.key, keys::kNodes)) {
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -20,7 +20,8 @@
   std::uint32_t tasks = 0;
   WallTime submitted;
   Stamp stamp;
-  std::shared_ptr<const JobSpec> spec;  // while open
+  std::shared_ptr<const JobSpec> spec;    // while open
+  std::optional<std::uint32_t> atOnce{};  // of a job in another share than its team's (wire::JobRecord)
 };
 
 struct KnownHost {
--- /dev/null
+++ b/src/actors/failures.cpp
@@ -0,0 +1,121 @@
+#include "actors/failures.h"
+
+#include <algorithm>
+
+namespace cherryloft {
+namespace {
+
+constexpr unsigned kFailuresToBackOff = 3;  // in a row, before a job waits between tries
+constexpr Duration kFirstBackOff{1'000};    // doubled with each further failure
+constexpr Duration kLongestBackOff{60'000};
+constexpr unsigned kMostDoublings = 6;           // enough for the longest
+constexpr Duration kKeepsOff{45'000};            // for how long a job keeps off a machine that failed it
+constexpr std::size_t kMachinesToBlameJob = 3;   // that failed it while it worked nowhere
+constexpr std::size_t kJobsToBlameMachine = 2;   // that it failed and that work elsewhere
+constexpr std::size_t kWorkingMachinesKept = 2;  // so that one of them is another than any given one
+constexpr int kLongerThanFailed = 2;             // times as long as the failed task, to count as working
+constexpr Duration kBlameKept{600'000};          // after that, a machine that completed nothing starts afresh
+
+}  // namespace
+
+bool FailureHistory::failsEverywhere(const JobRecord& record) {
+  if (record.worksOn.empty()) return record.failedOn.size() >= kMachinesToBlameJob;
+  return std::any_of(record.byTask.begin(), record.byTask.end(),
+                     [](const auto& task) { return task.second.size() >= kMachinesToBlameJob; });
+}
+
+std::optional<Duration> FailureHistory::failed(const TaskId& task, const HostId& host, Duration ranFor,
+                                               std::size_t machines, Time now) {
+  auto& record = jobs_[task.job];
+  // Many tasks that one machine fails together count once.
+  bool another = record.failedOn.insert_or_assign(host, now).second;
+  record.byTask[task.index].insert(host);
+  record.worksOn.erase(host);
+  record.longestRun = std::max(record.longestRun, ranFor);
+  if (another || record.failedOn.size() >= machines) ++record.failuresInARow;
+  settle(task.job, record, now);
+  if (record.failuresInARow < kFailuresToBackOff) return std::nullopt;
+  auto doublings = std::min(record.failuresInARow - kFailuresToBackOff, kMostDoublings);
+  return std::min(kFirstBackOff * (1 << doublings), kLongestBackOff);
+}
+
+void FailureHistory::completed(const JobId& job, const HostId& host, Time now) {
+  blame_.erase(host);
+  works(job, host, now);
+}
+
+void FailureHistory::keptRunning(const JobId& job, const HostId& host, Time now) { works(job, host, now); }
+
+void FailureHistory::works(const JobId& job, const HostId& host, Time now) {
+  auto& record = jobs_[job];
+  record.failuresInARow = 0;
+  if (record.worksOn.size() < kWorkingMachinesKept) record.worksOn.insert(host);
+  if (!record.failedOn.empty()) settle(job, record, now);
+}
+
+// Decides anew whom the job's failures count against.
+void FailureHistory::settle(const JobId& job, const JobRecord& record, Time now) {
+  for (const auto& [host, _] : record.failedOn) {
+    bool worksElsewhere = std::any_of(record.worksOn.begin(), record.worksOn.end(),
+                                      [&](const HostId& other) { return other != host; });
+    if (worksElsewhere && !failsEverywhere(record))
+      blame_[host].try_emplace(job, now);
+    else if (auto blamed = blame_.find(host); blamed != blame_.end())
+      blamed->second.erase(job);
+  }
+}
+
+std::vector<JobId> FailureHistory::undecided() const {
+  std::vector<JobId> out;
+  for (const auto& [id, record] : jobs_)
+    if (!record.failedOn.empty() && record.worksOn.empty()) out.push_back(id);
+  return out;
+}
+
+Duration FailureHistory::contrastAfter(const JobId& job) const {
+  const auto* record = find(job);
+  return (record ? kLongerThanFailed * record->longestRun : Duration{}) + 2 * reportInterval_;
+}
+
+bool FailureHistory::suspect(const JobId& job) const {
+  const auto* record = find(job);
+  return record && record->worksOn.empty() && record->failuresInARow >= kFailuresToBackOff;
+}
+
+bool FailureHistory::avoids(const JobId& job, const HostId& host, std::size_t machines, Time now) const {
+  const auto* record = find(job);
+  if (!record || record->failedOn.size() >= machines) return false;
+  auto failed = record->failedOn.find(host);
+  return failed != record->failedOn.end() && now - failed->second <= kKeepsOff;
+}
+
+std::vector<HostId> FailureHistory::faulty(const JobId& job, Time now) const {
+  std::vector<HostId> out;
+  const auto* record = find(job);
+  if (!record) return out;
+  for (const auto& [host, _] : record->failedOn) {
+    auto blamed = blame_.find(host);
+    if (blamed == blame_.end()) continue;
+    auto recent = std::count_if(blamed->second.begin(), blamed->second.end(),
+                                [&](const auto& entry) { return now - entry.second <= kBlameKept; });
+    if (static_cast<std::size_t>(recent) >= kJobsToBlameMachine) out.push_back(host);
+  }
+  return out;
+}
+
+void FailureHistory::forget(const JobId& job) { jobs_.erase(job); }
+
+void FailureHistory::forget(const HostId& host) {
+  blame_.erase(host);
+  for (auto& [_, record] : jobs_) {
+    record.failedOn.erase(host);
+    record.worksOn.erase(host);
+  }
+}
+
+const FailureHistory::JobRecord* FailureHistory::find(const JobId& job) const {
+  auto it = jobs_.find(job);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+}  // namespace cherryloft
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -129,7 +129,9 @@
                         [this, k = t.share](Stamp stamp, const NodeId& to, std::function<void(bool)> done) {
                           membership_.give(k, stamp, to, std::move(done));
                         },
-                        [this] { return peers_.answeredElsewhere(); }};
+                        [this] { return peers_.answeredElsewhere(); },
+                        [this](const mesh::RoomWanted& w) { wantRoom(w); },
+                        [this](const mesh::RoomOffer& o) { offerRoom(o); }};
   auto& s = schedulers_[t.share];
   s = std::make_unique<Scheduler>(settings_, io_, log_, store_, dir_, t, membership_.standing(), rng_(), out);
   s->start();
@@ -170,6 +172,25 @@
     peers_.send(dir_.leader->record.owner, l);
 }
 
+void Node::wantRoom(const mesh::RoomWanted& w) {
+  peers_.sendAll(w);
+  roomWanted(w);
+}
+
+// Another share's owner may be this controller as well.
+void Node::roomWanted(const mesh::RoomWanted& w) {
+  for (auto& [share, s] : schedulers_)
+    if (share.value != w.share) s->roomWanted(w);
+}
+
+void Node::offerRoom(const mesh::RoomOffer& o) {
+  ShareNo to{o.toShare};
+  if (auto* s = scheduler(to))
+    s->roomOffered(o);
+  else if (const NodeId* owner = dir_.ownerOf(to))
+    peers_.send(*owner, o);
+}
+
 void Node::wish(const mesh::HostWish& w) {
   ShareNo k{w.share};
   if (auto* s = scheduler(k))
@@ -201,6 +222,10 @@
     dir_.ended(JobId{over->job}, over->done ? JobStatus::Done : JobStatus::Aborted, Stamp{over->stamp});
   } else if (const auto* w = std::get_if<mesh::HostWish>(&p)) {
     if (auto* s = scheduler(ShareNo{w->share})) s->wish(*w);
+  } else if (const auto* wanted = std::get_if<mesh::RoomWanted>(&p)) {
+    roomWanted(*wanted);
+  } else if (const auto* offer = std::get_if<mesh::RoomOffer>(&p)) {
+    if (auto* s = scheduler(ShareNo{offer->toShare})) s->roomOffered(*offer);
   }
 }
 
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -37,6 +37,9 @@
   void jobEnded(const JobId& id, JobStatus s, Stamp stamp);
   void sendLoad(const mesh::ShareLoad& l);
   void wish(const mesh::HostWish& w);
+  void wantRoom(const mesh::RoomWanted& w);
+  void roomWanted(const mesh::RoomWanted& w);
+  void offerRoom(const mesh::RoomOffer& o);
   Scheduler* scheduler(ShareNo k);
   void jobs(const HttpRequest& r, Responder done);
   void checkIn(const std::string& body, Responder done);
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -39,7 +39,8 @@
       standing_(standing),
       rng_(seed),
       out_(std::move(out)),
-      books_(settings) {}
+      books_(settings),
+      failures_(seconds(settings.reportS)) {}
 
 void Scheduler::start() {
   loadStarted_ = io_.now();
@@ -102,6 +103,7 @@
   for (auto& [id, job] : books_.jobs())
     if (job.status == JobStatus::Aborted && job.placed == 0) over.push_back(id);
   for (const auto& id : over) cleanUp(*books_.job(id));
+  countAllElsewhere();
   loaded_ = true;
   log_->info("share {} loaded: {} jobs, {} machines, {} ms", taken_.share.value, books_.jobs().size(),
              books_.hosts().size(), (now - loadStarted_).count());
@@ -207,6 +209,7 @@
     lose(*h, task);
   }
   drawAt_.erase(id);
+  failures_.forget(id);
   books_.removeHost(id);
   if (held) wake(true);
 }
@@ -221,6 +224,8 @@
   if (flight_ &&
       std::any_of(flight_->ended.begin(), flight_->ended.end(), [&](const auto& e) { return e.first == id; }))
     return std::nullopt;
+  if (flight_ && std::count(flight_->transferred.begin(), flight_->transferred.end(), id) > 0)
+    return std::nullopt;
   const auto& j = it->second;
   return wire::JobView{JobStatus::Open, static_cast<std::uint32_t>(j.tasks.size()), j.done, j.running};
 }
@@ -261,6 +266,8 @@
   }
   if (!owns()) return;
   giveUpDoubtful(now);
+  reviewFailures(now);
+  reviewTransfers(now);
   settleRecords(now);
   if (now - loadSent_ >= kLoadEvery) {
     loadSent_ = now;
@@ -340,6 +347,15 @@
   d.stuckZones = std::move(open);
 }
 
+// Tasks that are to be placed as soon as there is room. A job that has never worked is tried with one at a
+// time, and machines are neither rented nor kept for it between two tries.
+std::size_t Scheduler::wantsRoomFor(const Job& job, Time now) const {
+  if (job.atOnce)
+    return std::min<std::size_t>(job.waiting.size(), *job.atOnce - std::min(job.placed, *job.atOnce));
+  if (!failures_.suspect(job.id)) return job.waiting.size();
+  return now < job.notBefore ? 0 : std::min<std::size_t>(job.waiting.size(), 1);
+}
+
 void Scheduler::sendLoad() {
   auto now = io_.now();
   mesh::ShareLoad load;
@@ -357,7 +373,8 @@
     if (!job.open()) continue;
     double limit = job.team ? std::max(0.0, job.team->coresMax - books_.teamUse(job.spec->team).cores) : 0;
     auto& w = fragile(job) ? load.firm : d;
-    w.waiting += std::min(each.cores * static_cast<double>(job.waiting.size()), limit);
+    auto waiting = wantsRoomFor(job, now);
+    w.waiting += std::min(each.cores * static_cast<double>(waiting), limit);
     d.largestTask = std::max(d.largestTask, each.cores);
     auto cores = job.unfinished().cores;
     left[&d].first += cores * job.spec->expectS;
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "actors/books.h"
+#include "actors/failures.h"
 #include "actors/membership.h"
 #include "actors/spans.h"
 #include "actors/store.h"
@@ -27,6 +28,8 @@
     std::function<void(Stamp, const NodeId&, std::function<void(bool)>)> give;
     // The latest moment at which a sibling may have answered our workers in our name (invariant 15).
     std::function<Time()> answeredElsewhere;
+    std::function<void(const mesh::RoomWanted&)> wantRoom;  // to the owners of all other shares
+    std::function<void(const mesh::RoomOffer&)> offerRoom;  // to the owner of the share that asked
   };
   struct CheckInAnswer {
     int status = 503;
@@ -46,6 +49,9 @@
   CheckInAnswer checkIn(const wire::Report& r);
   void wish(const mesh::HostWish& w);
   void handBack(const NodeId& to);
+  // Another share's owner looks for room for its jobs, or offers room for ours (scheduler_transfers.cpp).
+  void roomWanted(const mesh::RoomWanted& wanted);
+  void roomOffered(const mesh::RoomOffer& offer);
   // Nothing if this actor may not answer now.
   std::optional<wire::JobView> poll(const JobId& id) const;
   // done is told the committed state; false if this actor can't take the request.
@@ -94,6 +100,8 @@
   void newTenure(Host& h);
   void lose(Host& h, const TaskId& task);
   void ended(Host& h, const wire::ReportedTask& t);
+  void giveUpFaulty(const JobId& job);
+  void reviewFailures(Time now);
   void absent(Host& h, const wire::Report& r, bool checkIn);
   std::vector<wire::Order> orders(Host& h, const wire::Report* checkIn);
   static void addOrders(std::vector<wire::Order>& list, std::vector<wire::Order> more);
@@ -123,6 +131,7 @@
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
   void sendLoad();
+  std::size_t wantsRoomFor(const Job& job, Time now) const;
   void stuckZones(const Job& job, mesh::Demand& d) const;
   // come: tasks of it that are to go there already.
   bool zoneAllows(const Job& job, const Zone& zone, unsigned come = 0) const;
@@ -137,6 +146,7 @@
   };
   std::vector<Ranked> candidates();
   unsigned placeSome(Job& job, unsigned most);
+  void tryOne(Job& job);
   bool placeGang(Job& job);
   bool keepEmptying();
   bool anyRoom(const Job& job) const;
@@ -164,6 +174,17 @@
   std::vector<Host*> others(const Job& job, const Turn& turn);
   policy::Peek peek(const Job& job);
   void makeRoom(const std::vector<Ranked>& blocked);
+  // Transfers of jobs to other shares (invariant 17).
+  void reviewTransfers(Time now);
+  bool waitsInVain(const Job& job, Time now) const;
+  std::vector<const Job*> waitingInVain(Time now) const;
+  std::uint32_t roomFor(const JobId& id, const KnownJob& known) const;
+  std::optional<std::uint32_t> mayRunElsewhere(const Job& job) const;
+  void countElsewhere(const JobId& id, const JobSpec& spec, std::uint32_t tasks, bool committed);
+  void countAllElsewhere();
+  void releaseElsewhere(Time now);
+  void addTransfers(wire::Transaction& t, std::size_t& weight);
+  void transferred(const JobId& id);
   void commit();
   void commitAt(Time due);
   void committed(const TxnResult& r);
@@ -187,6 +208,8 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 
   Books books_;
+  FailureHistory failures_;
+  Time failuresReviewed_{};
   bool loaded_ = false;
   Stamp lastAborted_;
   Time loadStarted_{};
@@ -213,6 +236,7 @@
     std::vector<std::tuple<HostId, TaskId, Attempt>> placed;
     std::vector<TaskId> done;
     std::vector<std::pair<JobId, JobStatus>> ended;
+    std::vector<JobId> transferred;
     std::vector<PageNo> dropped;
   };
   std::optional<InFlight> flight_;
@@ -229,6 +253,30 @@
   Time ticked_{};
   Time resumed_{};  // the end of our own last standstill
 
+  // Room that another share offers for a job of ours.
+  struct Offer {
+    ShareNo share;
+    std::uint32_t tasks = 0;
+    Time at;
+  };
+  std::map<JobId, Offer> offers_;
+  // A job of our teams that another share runs, or is to run.
+  struct Elsewhere {
+    TeamId team;
+    Resources sum;           // of the tasks that may be somewhere at once
+    bool committed = false;  // its record names the other share
+    std::optional<Time> abortedSince;
+  };
+  std::map<JobId, Elsewhere> elsewhere_;
+  struct Transfer {
+    JobId job;
+    ShareNo to;
+    std::uint32_t atOnce = 0;
+  };
+  std::vector<Transfer> transfers_;  // to be written with the next commit
+  Time transfersReviewed_{};
+  Time offeredAt_{};
+
   StartSpans spans_;
   Counts accounted_;
 
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -27,6 +27,7 @@
                            job->submitted,
                            {}};
     if (!done) record.spec = *job->spec;
+    if (!done) record.atOnce = job->atOnce;
     wire::Write w{keys::job(*it), wire::encodeJobRecord(record), {}};
     if (!fits(t, weight, w)) return;
     weight += wire::weightOf(w);
@@ -78,6 +79,7 @@
     t.when[keys::share(taken_.share)] = taken_.stamp;
     std::size_t weight = 0;
     addTerminal(t, weight);
+    addTransfers(t, weight);
     // A share that is to be handed back waits for nothing else: in a large one something is done at every
     // moment. The next owner learns from reports what is done, as nothing is forgotten before it is written
     // (invariant 8), and placements that were not written were not sent.
@@ -150,6 +152,7 @@
       j->tasks[id.index].doneCommitted = true;
       j->tasks[id.index].flying = false;
     }
+  for (const auto& id : f.transferred) transferred(id);
   std::set<HostId> hosts;
   for (const auto& [hostId, task, attempt] : f.placed) {
     if (Job* j = books_.job(task.job)) j->tasks[task.index].flying = false;
@@ -205,6 +208,7 @@
 void Scheduler::cleanUp(Job& job) {
   if (job.status == JobStatus::Open || job.placed > 0) return;
   auto id = job.id;
+  failures_.forget(id);
   books_.removeJob(id);
 }
 
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -18,10 +18,8 @@
 constexpr Duration kStopAgain{1'500};
 constexpr std::size_t kMostOrders = 300;  // keeps an answer's line under 64 KiB
 constexpr unsigned kMissedStarts = 2;     // check-ins in a row that lack what an answer should have started
-constexpr std::size_t kMostAsking = 64;   // questions without orders under way at a time
-constexpr unsigned kFailuresToBackOff = 3;
-constexpr std::size_t kFailedJobsToDrain = 2;
-constexpr std::size_t kMachinesToBlame = 2;
+constexpr Duration kReviewFailuresEvery{1'000};
+constexpr std::size_t kMostAsking = 64;  // questions without orders under way at a time
 
 }  // namespace
 
@@ -208,8 +206,8 @@
     books_.cached(h, job.spec->image, job.spec->imageGb);
     books_.taskDone(h, t.task, now);
     leaving_.push_back({now, job.spec->each.cores, job.spec->lendable});
-    job.failures = 0;
-    h.failedJobs.clear();
+    failures_.completed(job.id, h.id, now);
+    giveUpFaulty(job.id);
     if (job.status == JobStatus::Open) {
       fresh_.push_back(t.task);
       if (job.done == job.tasks.size()) ending_.insert(job.id);
@@ -217,32 +215,17 @@
     cleanUp(job);
     return;
   }
+  const auto& placement = h.placements.at(t.task);
+  bool ran = placement.shown && placement.phase == TaskPhase::Running;
+  auto ranFor = ran ? now - placement.runningSince : Duration{};
   books_.gone(h, t.task, now);
   log_->debug("{} on {} ended: {}", wire::encodeTask(t.task), h.id.value, static_cast<int>(t.cause));
   switch (t.cause) {
-    case ExitCause::Error: {
-      // A job that fails everywhere backs off; a machine on which several sound jobs fail is drained.
-      // Many tasks that one faulty machine fails together count once.
-      bool another = job.failedOn.insert_or_assign(h.id, now).second;
-      if (another || job.failedOn.size() >= books_.hosts().size()) ++job.failures;
-      if (job.failures >= kFailuresToBackOff) {
-        auto exponent = std::min(job.failures - kFailuresToBackOff, 6u);
-        job.notBefore = now + std::min(Duration{1000} * (1 << exponent), Duration{60'000});
-      }
-      // A job that fails on a third machine is to blame itself.
-      if (job.failedOn.size() <= kMachinesToBlame)
-        h.failedJobs.insert(job.id);
-      else if (another)
-        for (const auto& [id, _] : job.failedOn)
-          if (Host* x = books_.host(id)) x->failedJobs.erase(job.id);
-      if (h.failedJobs.size() >= kFailedJobsToDrain && !h.leaving) {
-        log_->info("{} fails jobs and is given up", h.id.value);
-        h.leaving = true;
-        h.giveTo = -1;
-        books_.reindex(h);
-      }
+    case ExitCause::Error:
+      if (auto wait = failures_.failed(t.task, h.id, ranFor, books_.hosts().size(), now))
+        job.notBefore = now + *wait;
+      giveUpFaulty(job.id);
       break;
-    }
     case ExitCause::NoRoom:
     case ExitCause::Busy:
       job.notBefore = now + Duration{500};
@@ -257,6 +240,40 @@
   cleanUp(job);
 }
 
+// Machines whose failures of the job, beside its success elsewhere, show that the fault is theirs.
+void Scheduler::giveUpFaulty(const JobId& job) {
+  for (const auto& id : failures_.faulty(job, io_.now())) {
+    Host* h = books_.host(id);
+    if (!h || h->leaving) continue;
+    log_->info("{} fails jobs that work elsewhere and is given up", id.value);
+    h->leaving = true;
+    h->giveTo = -1;
+    books_.reindex(*h);
+  }
+}
+
+// A task that has run on for longer than another of its job lasted before it failed shows that the job works.
+void Scheduler::reviewFailures(Time now) {
+  if (now - failuresReviewed_ < kReviewFailuresEvery) return;
+  failuresReviewed_ = now;
+  for (const auto& id : failures_.undecided()) {
+    const Job* job = books_.job(id);
+    if (!job) continue;
+    auto enough = failures_.contrastAfter(id);
+    for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
+      const Host* h = job->tasks[i].host;
+      if (!h) continue;
+      const auto& p = h->placements.at({id, i});
+      bool runs = p.shown && p.phase == TaskPhase::Running && now - p.runningSince >= enough;
+      if (!runs || silence(*h) > reportDue()) continue;
+      failures_.keptRunning(id, h->id, now);
+      giveUpFaulty(id);
+      wake(true);
+      break;
+    }
+  }
+}
+
 // Placements that a newer report does not show: which of them are known gone (invariants 2, 3 and 4).
 void Scheduler::absent(Host& h, const wire::Report& r, bool checkIn) {
   std::set<std::pair<TaskId, Attempt>> present;
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -15,7 +15,7 @@
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
 constexpr double kOverdueS = 90;      // a job that has not begun by then has a turn before all others
 constexpr Duration kBetweenRounds{30};
-constexpr Duration kAfterFailure{45'000};  // for how long a job keeps off a machine that failed a task of it
+constexpr Duration kBetweenTrials{15'000};  // of a job that never worked, while a task of it is somewhere
 constexpr double kLongRun = 0.7;  // part of what its aim allows that makes a task too long for a spot machine
 constexpr double kLostRun = 0.5;  // the same for age and run of a job that lost a task already
 constexpr double kNoHope = 1.3;
@@ -99,6 +99,11 @@
       continue;
     }
     auto most = std::min<std::size_t>(kTurn, best->job->waiting.size());
+    if (failures_.suspect(best->job->id)) {
+      tryOne(*best->job);
+      list.erase(best);
+      continue;
+    }
     auto got = placeSome(*best->job, static_cast<unsigned>(most));
     ++turns[best->job->spec->team];
     best->c.overdue = false;  // it has begun, or there is no room for it
@@ -115,6 +120,11 @@
   if (!list.empty()) drawEverywhere_ = true;  // these had no turn yet
 }
 
+// A job that has failed wherever it was tried takes room for one task at a time, and nobody gives way to it.
+void Scheduler::tryOne(Job& job) {
+  if (job.placed == 0 || io_.now() - job.placedLast >= kBetweenTrials) placeSome(job, 1);
+}
+
 unsigned Scheduler::placeSome(Job& job, unsigned most) {
   if (!books_.withinLimit(job) || !anyFree(job)) return 0;
   job.avoidSpot = fragile(job);
@@ -282,9 +292,7 @@
 bool Scheduler::allowedKind(const Job& job, const Host& h) const {
   const auto& s = *job.spec;
   if (!s.allowsType(h.known.record.type) || (h.spot() && (!s.lendable || job.avoidSpot))) return false;
-  auto failed = job.failedOn.find(h.id);
-  return failed == job.failedOn.end() || io_.now() - failed->second > kAfterFailure ||
-         job.failedOn.size() >= books_.hosts().size();
+  return !failures_.avoids(job.id, h.id, books_.hosts().size(), io_.now());
 }
 
 // Which of two machines with room a task should rather go to, the image aside.
--- /dev/null
+++ b/src/actors/scheduler_transfers.cpp
@@ -0,0 +1,220 @@
+// Jobs that wait while only another share's machines have room: they are transferred to that share (invariant
+// 17).
+//
+// The owner asks the other owners for room, takes the best offer, and writes the job's record anew with the
+// other share. Nothing of the job is on any machine then. The team's own share keeps the team's limit: it
+// counts as in use what the job may take at once, from before that write until the job is over and nothing of
+// it can be left.
+#include <algorithm>
+#include <cmath>
+
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kAsksOthersAfter{30'000};  // without a start; long enough for a machine to boot
+constexpr Duration kReviewEvery{1'000};
+constexpr std::size_t kMostAsked = 8;  // jobs that room is looked for at a time
+constexpr Duration kOfferHolds{3'000};
+constexpr Duration kBetweenOffers{1'000};  // so that one room is not offered to many
+constexpr double kAbortedCountsFor = 2.0;  // times cancel_s, by which nothing of an aborted job is left
+constexpr double kLimitSlack = 1e-6;       // cores
+
+}  // namespace
+
+// Nothing of it is or was anywhere, its team is under its limit, and no machine of ours could take a task of
+// it.
+bool Scheduler::waitsInVain(const Job& job, Time now) const {
+  bool untouched = job.open() && job.placed == 0 && job.done == 0 && !job.waiting.empty();
+  if (!untouched || now < job.notBefore || now - std::max(job.since, job.placedLast) < kAsksOthersAfter)
+    return false;
+  return books_.withinLimit(job) && !anyRoom(job);
+}
+
+// The oldest of them.
+std::vector<const Job*> Scheduler::waitingInVain(Time now) const {
+  std::vector<const Job*> jobs;
+  for (const auto& [_, job] : books_.jobs())
+    if (waitsInVain(job, now)) jobs.push_back(&job);
+  auto most = std::min(jobs.size(), kMostAsked);
+  std::partial_sort(jobs.begin(), jobs.begin() + static_cast<std::ptrdiff_t>(most), jobs.end(),
+                    [](const Job* a, const Job* b) {
+                      return std::pair(a->submitted, a->id) < std::pair(b->submitted, b->id);
+                    });
+  jobs.resize(most);
+  return jobs;
+}
+
+void Scheduler::reviewTransfers(Time now) {
+  if (now - transfersReviewed_ < kReviewEvery) return;
+  transfersReviewed_ = now;
+  releaseElsewhere(now);
+  std::erase_if(offers_, [&](const auto& o) { return now - o.second.at > kOfferHolds; });
+  if (givingTo_ || gaveUpShare_) return;
+  mesh::RoomWanted wanted;
+  wanted.share = taken_.share.value;
+  for (const Job* job : waitingInVain(now)) {
+    if (elsewhere_.count(job->id) > 0) continue;  // its transfer is about to be written
+    auto offer = offers_.find(job->id);
+    auto atOnce = offer == offers_.end() ? std::nullopt : mayRunElsewhere(*job);
+    if (!atOnce) {
+      wanted.jobs.push_back(job->id.value);
+      continue;
+    }
+    bool ownTeam = settings_.shareOfTeam(job->spec->team) == taken_.share;
+    if (ownTeam) countElsewhere(job->id, *job->spec, *atOnce, false);
+    transfers_.push_back({job->id, offer->second.share, *atOnce});
+    offers_.erase(offer);
+    wake(false);
+  }
+  if (!wanted.jobs.empty()) out_.wantRoom(wanted);
+}
+
+// How many of its tasks may be elsewhere at once, if the team's limit allows for any: all that it allows for,
+// as more room may come free there. Replicas and members of a gang are all to run together.
+std::optional<std::uint32_t> Scheduler::mayRunElsewhere(const Job& job) const {
+  const auto& spec = *job.spec;
+  if (job.atOnce) return job.atOnce;
+  auto wished = spec.tasks;
+  if (!job.team || wished == 0) return std::nullopt;
+  auto use = books_.teamUse(spec.team);
+  auto fits = [&](double left, double each) {
+    return each > 0 ? std::floor((left + kLimitSlack) / each) : static_cast<double>(wished);
+  };
+  double most = std::min(fits(job.team->coresMax - use.cores, spec.each.cores),
+                         fits(job.team->gpusMax - use.gpus, spec.each.gpus));
+  if (most >= wished) return wished;
+  if (spec.shape != Shape::Array || most < 1) return std::nullopt;
+  return static_cast<std::uint32_t>(most);
+}
+
+// --- the share that has room ---
+
+void Scheduler::roomWanted(const mesh::RoomWanted& wanted) {
+  auto now = io_.now();
+  if (!loaded_ || !owns() || givingTo_ || gaveUpShare_ || now - offeredAt_ < kBetweenOffers) return;
+  for (const auto& name : wanted.jobs) {
+    JobId id{name};
+    auto known = dir_.jobs.find(id);
+    bool theirs =
+        known != dir_.jobs.end() && known->second.share == ShareNo{wanted.share} && known->second.spec;
+    if (!theirs || known->second.status != JobStatus::Open) continue;
+    auto tasks = roomFor(id, known->second);
+    if (tasks == 0) continue;
+    offeredAt_ = now;
+    return out_.offerRoom({taken_.share.value, wanted.share, name, tasks});
+  }
+}
+
+// How many tasks of another share's job our machines have room for now, with up to K looked at in each pool.
+// Of a gang, all or none.
+std::uint32_t Scheduler::roomFor(const JobId& id, const KnownJob& known) const {
+  Job job;
+  job.id = id;
+  job.spec = known.spec;
+  const auto& spec = *job.spec;
+  std::map<Zone, std::uint32_t> found;
+  for (const auto& pool : books_.pools()) {
+    if (!allowedIn(job, pool)) continue;
+    auto& inZone = found[pool.zone];
+    auto at = pool.byRoom.lower_bound({spec.each.cores - kLimitSlack, 0});
+    for (unsigned looked = 0; at != pool.byRoom.end() && looked < settings_.tuning.sample; ++at, ++looked) {
+      auto free = at->second->free();
+      if (!allowed(job, *at->second)) continue;
+      for (; spec.each.fitsIn(free) && inZone < spec.tasks && zoneAllows(job, pool.zone, inZone); ++inZone)
+        free -= spec.each;
+    }
+  }
+  std::uint32_t sum = 0, most = 0;
+  for (const auto& [_, n] : found) {
+    sum += n;
+    most = std::max(most, n);
+  }
+  auto fits = std::min(spec.oneZone ? most : sum, spec.tasks);
+  return spec.shape == Shape::Gang && fits < spec.tasks ? 0 : fits;
+}
+
+void Scheduler::roomOffered(const mesh::RoomOffer& offer) {
+  JobId id{offer.job};
+  if (!loaded_ || !owns() || !books_.job(id)) return;
+  auto& best = offers_[id];
+  if (offer.tasks > best.tasks) best = {ShareNo{offer.share}, offer.tasks, io_.now()};
+}
+
+// --- the write, and what it means for the team's limit ---
+
+void Scheduler::addTransfers(wire::Transaction& t, std::size_t& weight) {
+  for (const auto& transfer : std::exchange(transfers_, {})) {
+    const Job* job = books_.job(transfer.job);
+    bool still = job && job->open() && job->placed == 0 && job->done == 0 && job->withdrawers.empty();
+    wire::Write w;
+    if (still) {
+      wire::JobRecord record{JobStatus::Open, transfer.to, job->spec->tasks, job->submitted, *job->spec, {}};
+      bool home = settings_.shareOfTeam(job->spec->team) == transfer.to;
+      if (!home) record.atOnce = transfer.atOnce;
+      w = {keys::job(job->id), wire::encodeJobRecord(record), {}};
+    }
+    if (!still || w.value->size() > settings_.valueBytes || !fits(t, weight, w)) {
+      if (auto counted = elsewhere_.find(transfer.job); counted != elsewhere_.end()) {
+        books_.uncountElsewhere(counted->second.team, counted->second.sum);
+        elsewhere_.erase(counted);
+      }
+      continue;
+    }
+    weight += wire::weightOf(w);
+    t.when[w.key] = job->stamp;
+    t.apply.push_back(std::move(w));
+    flight_->transferred.push_back(job->id);
+    log_->info("job {} goes to share {}, {} tasks at once", job->id.value, transfer.to.value,
+               transfer.atOnce);
+  }
+}
+
+void Scheduler::transferred(const JobId& id) {
+  if (auto counted = elsewhere_.find(id); counted != elsewhere_.end()) counted->second.committed = true;
+  Job* job = books_.job(id);
+  if (!job) return;
+  answerWithdrawers(*job, JobStatus::Open);  // they ask again, and the other owner is told
+  failures_.forget(id);
+  books_.removeJob(id);
+}
+
+void Scheduler::countElsewhere(const JobId& id, const JobSpec& spec, std::uint32_t tasks, bool committed) {
+  auto sum = spec.each * static_cast<double>(tasks);
+  elsewhere_[id] = {spec.team, sum, committed, std::nullopt};
+  books_.countElsewhere(spec.team, sum);
+}
+
+// A new owner: what was transferred before its takeover is in view by then.
+void Scheduler::countAllElsewhere() {
+  for (const auto& [id, known] : dir_.jobs) {
+    bool gone = known.share == taken_.share || !known.spec || known.status == JobStatus::Done;
+    if (gone || settings_.shareOfTeam(known.spec->team) != taken_.share) continue;
+    countElsewhere(id, *known.spec, known.atOnce.value_or(known.tasks), true);
+  }
+}
+
+// Done: nothing of it is anywhere. Aborted: what is left of it ends within cancel_s.
+void Scheduler::releaseElsewhere(Time now) {
+  for (auto it = elsewhere_.begin(); it != elsewhere_.end();) {
+    auto& counted = it->second;
+    auto known = dir_.jobs.find(it->first);
+    bool over = counted.committed && known != dir_.jobs.end();
+    if (over && known->second.status == JobStatus::Aborted) {
+      if (!counted.abortedSince) counted.abortedSince = now;
+      over = now - *counted.abortedSince > seconds(kAbortedCountsFor * settings_.cancelS);
+    } else if (over) {
+      over = known->second.status == JobStatus::Done || known->second.share == taken_.share;
+    }
+    if (!over) {
+      ++it;
+      continue;
+    }
+    books_.uncountElsewhere(counted.team, counted.sum);
+    it = elsewhere_.erase(it);
+    wake(true);
+  }
+}
+
+}  // namespace cherryloft
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -171,8 +171,32 @@
   }
 };
 
-using Payload =
-    std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish, JobEnded>;
+// From a share's owner to everybody: jobs that have waited long and that none of the share's machines has
+// room for.
+struct RoomWanted {
+  std::uint32_t share = 0;
+  std::vector<std::string> jobs;
+  template <class A>
+  void serialize(A& a) {
+    a(share, jobs);
+  }
+};
+
+// The reply of another share's owner: its machines have room for so many tasks of the job now.
+struct RoomOffer {
+  std::uint32_t share = 0;    // whose machines they are
+  std::uint32_t toShare = 0;  // that asked
+  std::string job;
+  std::uint32_t tasks = 0;
+  template <class A>
+  void serialize(A& a) {
+    a(share, toShare, job, tasks);
+  }
+};
+
+// New kinds go to the end: a controller of an earlier version refuses the frames that it does not know.
+using Payload = std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish,
+                             JobEnded, RoomWanted, RoomOffer>;
 
 struct Frame {
   std::uint32_t from = 0;
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -100,6 +100,7 @@
 
 std::string encodeJobRecord(const JobRecord& r) {
   Json j{{"st", static_cast<int>(r.status)}, {"sh", r.share.value}, {"n", r.tasks}};
+  if (r.atOnce) j["most"] = *r.atOnce;
   if (r.spec) {
     const auto& s = *r.spec;
     j["at"] = r.submitted.value;
@@ -135,7 +136,9 @@
               ShareNo{static_cast<std::uint32_t>(*share)},
               static_cast<std::uint32_t>(*tasks),
               {},
+              {},
               {}};
+  if (auto most = countAt(*doc, "most")) r.atOnce = static_cast<std::uint32_t>(*most);
   // An aborted job keeps its description: what it takes counts until its last task is known gone.
   if (r.status != JobStatus::Open && !doc->contains("spec")) return r;
   auto at = countAt(*doc, "at");
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -50,6 +50,9 @@
   std::uint32_t tasks = 0;
   WallTime submitted;
   std::optional<JobSpec> spec;  // kept unless done
+  // Of a job that another share than its team's runs: so many of its tasks may be somewhere at once. The
+  // team's own share counts them as in use (invariant 17).
+  std::optional<std::uint32_t> atOnce{};
 };
 std::string encodeJobRecord(const JobRecord& r);
 std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value);
