Tests: the scenario runner is modules of one job each: lines, setup, actions, expectations

scenario.cpp held the syntax of lines, the cluster's setup, some fifty events and the expectations in three long chains of conditions. They are now tables of short functions, by what they trouble, and the duration of an event's trouble stands beside the event. What scenarios may say and what it does is unchanged.

--- a/tests/world/scenario.h
+++ b/tests/world/scenario.h
@@ -7,8 +7,9 @@
 
 namespace world {
 
-// What went against expectations; empty if all is well. Throws std::runtime_error on a file that can't be
-// read.
+// Plays a scenario and returns what went against expectations; empty if all is well. "seeds 1 2 3" plays it
+// once with each, "vary 40 41.5 43" once more with each for every "$" in it. Throws std::runtime_error on a
+// file that can't be read.
 std::vector<std::string> runScenario(std::istream& in);
 
 }  // namespace world
--- /dev/null
+++ b/tests/world/scenario_expectations.cpp
@@ -0,0 +1,166 @@
+#include "world/scenario_expectations.h"
+
+#include <algorithm>
+#include <map>
+#include <stdexcept>
+
+namespace world {
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+constexpr double kAnyTimeS = 1e9;
+
+double secondsOf(Ms ms) { return static_cast<double>(ms) / kMsPerSecond; }
+
+// One expectation at work: what it looks at and where it complains.
+struct Check {
+  World& world;
+  const Line& line;
+  std::vector<std::string>& complaints;
+
+  void complain(const std::string& why) const { complaints.push_back(line.text() + "- but " + why); }
+  void compare(double actual, const std::string& comparison, double bound) const;
+  // It happened, and within so many seconds.
+  static bool inTime(Ms at, double byS) { return at >= 0 && secondsOf(at) <= byS; }
+};
+
+void Check::compare(double actual, const std::string& comparison, double bound) const {
+  bool met = (comparison == "==" && actual == bound) || (comparison == "<=" && actual <= bound) ||
+             (comparison == ">=" && actual >= bound);
+  if (!met) complain("it is " + std::to_string(actual));
+}
+
+// Calls with the number and the trace of each job of the range in word 2, and the place behind it.
+template <class Each>
+void forEachJob(const Check& check, Each each) {
+  auto range = check.line.jobRange(2);
+  for (auto number = range.first; number <= range.last; ++number) each(number, range.next);
+}
+
+// expect done|aborted 1 [to 5] [by 100]
+void checkStatus(const Check& check) {
+  const auto& status = check.line.word(1);
+  forEachJob(check, [&](unsigned number, std::size_t next) {
+    bool bounded = check.line.size() > next && check.line.word(next) == "by";
+    double byS = bounded ? check.line.number(next + 1) : kAnyTimeS;
+    const auto& trace = check.world.trace(jobIdOf(number));
+    bool cancelled = status == "aborted" && trace.cancelledAt >= 0;
+    Ms end = cancelled ? trace.cancelledAt : trace.finalAt;
+    if (trace.status == status && Check::inTime(end, byS)) return;
+    check.complain("job " + std::to_string(number) + " is " +
+                   (trace.status.empty() ? "unheard of" : trace.status) + ", at " + std::to_string(end) +
+                   " ms");
+  });
+}
+
+// expect over 1 [to 5] by 100: done or aborted
+void checkOver(const Check& check) {
+  forEachJob(check, [&](unsigned number, std::size_t next) {
+    Ms end = check.world.trace(jobIdOf(number)).finalAt;
+    if (!Check::inTime(end, check.line.number(next + 1)))
+      check.complain("job " + std::to_string(number) + " was over at " + std::to_string(end) + " ms");
+  });
+}
+
+// expect begun 1 [to 5] by 30
+void checkBegun(const Check& check) {
+  forEachJob(check, [&](unsigned number, std::size_t next) {
+    Ms begun = check.world.checker.begunAt(jobIdOf(number));
+    if (!Check::inTime(begun, check.line.number(next + 1)))
+      check.complain("job " + std::to_string(number) + " began at " + std::to_string(begun) + " ms");
+  });
+}
+
+// expect accepted JOB by 100
+void checkAccepted(const Check& check) {
+  Ms accepted = check.world.trace(check.line.jobId(2)).acceptedAt;
+  if (!Check::inTime(accepted, check.line.number(4)))
+    check.complain("accepted at " + std::to_string(accepted) + " ms");
+}
+
+// expect refused JOB STATUS
+void checkRefused(const Check& check) {
+  check.compare(check.world.trace(check.line.jobId(2)).refused, "==", check.line.number(3));
+}
+
+// expect up CONTROLLER STATUS
+void checkUp(const Check& check) {
+  check.compare(check.world.upStatus[check.line.count(2)], "==", check.line.number(3));
+}
+
+// expect on JOB <=|==|>= NUMBER: machines with a task of the job now
+void checkMachinesOfJob(const Check& check) {
+  auto machines = check.world.checker.machinesOf(check.line.jobId(2)).size();
+  check.compare(static_cast<double>(machines), check.line.word(3), check.line.number(4));
+}
+
+// expect starts JOB <=|==|>= NUMBER
+void checkStartsOfJob(const Check& check) {
+  check.compare(check.world.checker.startsOf(check.line.jobId(2)), check.line.word(3), check.line.number(4));
+}
+
+double sumOfCounts(const World& world, std::size_t cherryloft::Counts::*count) {
+  double sum = 0;
+  for (const auto& controller : world.controllers)
+    if (controller->node()) sum += static_cast<double>(controller->node()->counts().*count);
+  return sum;
+}
+
+double perStart(const World& world, double sum) {
+  return sum / std::max(sumOfCounts(world, &cherryloft::Counts::starts), 1.0);
+}
+
+using Measure = double (*)(const World&);
+
+// expect NAME <=|==|>= NUMBER
+const std::map<std::string, Measure>& measures() {
+  static const std::map<std::string, Measure> table{
+      {"starts-after-cancel", [](const World& w) -> double { return w.checker.startsAfterCancel(); }},
+      {"machines", [](const World& w) { return static_cast<double>(w.cloud.held()); }},
+      {"rented", [](const World& w) { return static_cast<double>(w.cloud.rented()); }},
+      {"leases-ended", [](const World& w) -> double { return w.checker.leasesEnded(); }},
+      {"reports-lost", [](const World& w) -> double { return w.checker.reportsLost(); }},
+      {"slowest-withdraw", [](const World& w) { return secondsOf(w.slowestWithdraw); }},
+      {"store-refused", [](const World& w) { return static_cast<double>(w.store.overLimit()); }},
+      {"cloud-rate", [](const World& w) { return static_cast<double>(w.cloud.busiestSecond()); }},
+      {"writes", [](const World& w) { return static_cast<double>(w.store.writes()); }},
+      {"epochs", [](const World& w) { return static_cast<double>(w.store.epochs()); }},
+      {"largest-value", [](const World& w) { return static_cast<double>(w.store.largestValue()); }},
+      {"looked-per-start",
+       [](const World& w) { return perStart(w, sumOfCounts(w, &cherryloft::Counts::looked)); }},
+      {"writes-per-start",
+       [](const World& w) { return perStart(w, static_cast<double>(w.store.writes())); }}};
+  return table;
+}
+
+// The expectations with words of their own.
+const std::map<std::string, void (*)(const Check&)>& checks() {
+  static const std::map<std::string, void (*)(const Check&)> table{
+      {"broken", [](const Check&) {}},  // judged with the rules that were broken
+      {"done", checkStatus},
+      {"aborted", checkStatus},
+      {"over", checkOver},
+      {"begun", checkBegun},
+      {"accepted", checkAccepted},
+      {"refused", checkRefused},
+      {"up", checkUp},
+      {"on", checkMachinesOfJob},
+      {"starts", checkStartsOfJob}};
+  return table;
+}
+
+}  // namespace
+
+void checkExpectation(World& world, const Line& line, std::vector<std::string>& complaints) {
+  const auto& what = line.word(1);
+  Check check{world, line, complaints};
+  if (auto it = measures().find(what); it != measures().end())
+    return check.compare(it->second(world), line.word(2), line.number(3));
+  auto it = checks().find(what);
+  if (it == checks().end()) throw std::runtime_error("unknown expectation '" + what + "'");
+  it->second(check);
+}
+
+std::string ruleExpectedBroken(const Line& line) { return line.word(1) == "broken" ? line.word(2) : ""; }
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/scenario_fault_actions.cpp
@@ -0,0 +1,123 @@
+// Events of a scenario that trouble controllers, connections, the state service and the cloud.
+#include "world/scenario_actions.h"
+#include "world/scenario_parties.h"
+
+namespace world {
+namespace {
+
+using Context = const ActionContext&;
+
+constexpr Ms kLateWritesSettle = 12'000;
+const std::string kHold = "hold";      // what is sent meanwhile is held back and comes later, not lost
+const std::string kAnswer = "answer";  // it concerns answers, not requests
+
+// crash CONTROLLER FOR
+void crash(Context context) {
+  for (auto* controller : controllersNamed(context.world, context.line.word(3)))
+    controller->crash(context.line.duration(4));
+}
+
+// freeze CONTROLLER FOR
+void freeze(Context context) {
+  for (auto* controller : controllersNamed(context.world, context.line.word(3)))
+    controller->freeze(context.until(4));
+}
+
+// leader crash|refuse|freeze FOR
+void troubleLeader(Context context) {
+  auto& world = context.world;
+  world.withLeader([&world, what = context.line.word(3), last = context.line.duration(4)](unsigned number) {
+    Ms until = world.clock.now() + last;
+    if (what == "crash")
+      world.controllers[number]->crash(last);
+    else if (what == "refuse")
+      world.store.refuse("node" + std::to_string(number), until);
+    else if (what == "freeze")
+      world.controllers[number]->freeze(until);
+  });
+}
+
+// cut FROM TO FOR hold|lose
+void cut(Context context) {
+  auto from = partyNamed(context.world, context.line.word(3));
+  auto to = partyNamed(context.world, context.line.word(4));
+  context.world.net.cut(from, to, context.until(5), context.line.word(6) == kHold);
+}
+
+// cut-zone ZONE FOR hold|lose
+void cutZone(Context context) {
+  auto& world = context.world;
+  auto inZone = [&world, zone = context.line.word(3)](const std::string& party) {
+    return world.zoneOf(party) == zone;
+  };
+  world.net.cutOff(inZone, context.until(4), context.line.word(5) == kHold);
+}
+
+// mute FROM TO FOR hold|lose
+void mute(Context context) {
+  for (const auto& to : partiesNamed(context.world, context.line.word(4)))
+    context.world.net.mute(context.line.word(3), to, context.until(5), context.line.word(6) == kHold);
+}
+
+// no-open FROM TO FOR
+void refuseConnections(Context context) {
+  for (const auto& from : partiesNamed(context.world, context.line.word(3)))
+    context.world.net.noOpen(from, partyNamed(context.world, context.line.word(4)), context.until(5));
+}
+
+// delay A B PATH FOR FROM TO request|answer
+void delay(Context context) {
+  auto& line = context.line;
+  auto from = partyNamed(context.world, line.word(3));
+  auto to = partyNamed(context.world, line.word(4));
+  context.world.net.delay(from, to, line.word(5), line.word(9) == kAnswer, context.until(6), line.duration(7),
+                          line.duration(8));
+}
+
+// copies MACHINE FOR FROM TO
+void copyReports(Context context) {
+  std::vector<std::string> nodes;
+  for (unsigned number = 0; number < context.world.controllers.size(); ++number)
+    nodes.push_back("node" + std::to_string(number));
+  context.world.net.copies(partyNamed(context.world, context.line.word(3)), "/checkin", nodes,
+                           context.until(4), context.line.duration(5), context.line.duration(6));
+}
+
+// lose PATH MACHINE
+void loseAnswer(Context context) {
+  context.world.net.loseAnswer(context.line.word(3), partyNamed(context.world, context.line.word(4)));
+}
+
+// outage store|cloud FOR
+void outage(Context context) {
+  if (context.line.word(3) == "store")
+    context.world.store.outage(context.until(4));
+  else
+    context.world.cloud.outage(context.until(4));
+}
+
+}  // namespace
+
+const ActionTable& faultActions() {
+  static const ActionTable table{
+      {"crash", {crash, 4}},
+      {"freeze", {freeze, 4}},
+      {"leader", {troubleLeader, 4}},
+      {"cut", {cut, 5}},
+      {"cut-zone", {cutZone, 4}},
+      {"mute", {mute, 5}},
+      {"no-open", {refuseConnections, 5}},
+      {"delay", {delay, 6, 8}},
+      {"copies", {copyReports, 4, 6}},
+      {"lose", {loseAnswer}},
+      {"outage", {outage, 4}},
+      {"refuse", {[](Context c) { c.world.store.refuse(c.line.word(3), c.until(4)); }, 4}},
+      {"late-writes",
+       {[](Context c) { c.world.store.lateWrites(c.line.number(3), c.until(4)); }, 4, 0, kLateWritesSettle}},
+      {"slow-store", {[](Context c) { c.world.store.slow(c.line.duration(3), c.until(4)); }, 4, 3}},
+      {"noboot", {[](Context c) { c.world.cloud.noBoot(c.until(3)); }, 3}},
+      {"nocapacity", {[](Context c) { c.world.cloud.noCapacity(c.until(3)); }, 3}}};
+  return table;
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/scenario_machine_actions.cpp
@@ -0,0 +1,74 @@
+// Events of a scenario that trouble machines.
+#include <algorithm>
+
+#include "world/scenario_actions.h"
+#include "world/scenario_parties.h"
+
+namespace world {
+namespace {
+
+using Context = const ActionContext&;
+
+// The machine that word 3 names; empty if there is none.
+std::string machineOf(Context context) { return machineNamed(context.world, context.line.word(3)); }
+
+// VERB FIRST COUNT: machines that are up.
+std::vector<std::string> machinesOf(Context context) {
+  return machinesUp(context.world, static_cast<std::size_t>(context.line.number(3)),
+                    static_cast<std::size_t>(context.line.number(4)));
+}
+
+// reboot MACHINE FOR
+void reboot(Context context) {
+  auto machine = machineOf(context);
+  if (!machine.empty()) context.world.cloud.reboot(machine, context.line.duration(4));
+}
+
+// reclaim MACHINE NOTICE
+void reclaim(Context context) {
+  auto machine = machineOf(context);
+  if (!machine.empty()) context.world.cloud.reclaim(machine, context.line.duration(4));
+}
+
+// die MACHINE
+void die(Context context) {
+  auto machine = machineOf(context);
+  if (!machine.empty()) context.world.cloud.die(machine);
+}
+
+// die-many FIRST COUNT
+void dieMany(Context context) {
+  for (const auto& machine : machinesOf(context)) context.world.cloud.die(machine);
+}
+
+// die-scattered COUNT: evenly among those that are up
+void dieScattered(Context context) {
+  auto all = context.world.cloud.allUp();
+  auto count = std::min(all.size(), static_cast<std::size_t>(context.line.number(3)));
+  for (std::size_t i = 0; i < count; ++i) context.world.cloud.die(all[i * all.size() / count]);
+}
+
+// hang MACHINE FOR
+void hang(Context context) {
+  if (auto* worker = context.world.cloud.worker(machineOf(context))) worker->hang(context.until(4));
+}
+
+// hang-many FIRST COUNT FOR
+void hangMany(Context context) {
+  for (const auto& machine : machinesOf(context)) context.world.cloud.worker(machine)->hang(context.until(5));
+}
+
+}  // namespace
+
+const ActionTable& machineActions() {
+  static const ActionTable table{{"reboot", {reboot, 4}},
+                                 {"reclaim", {reclaim}},
+                                 {"die", {die}},
+                                 {"die-many", {dieMany}},
+                                 {"die-scattered", {dieScattered}},
+                                 {"hang", {hang, 4}},
+                                 {"hang-many", {hangMany, 5}}};
+  return table;
+}
+
+}  // namespace world
--- /dev/null
+++ b/tests/world/scenario_setup.cpp
@@ -0,0 +1,119 @@
+#include "world/scenario_setup.h"
+
+#include <stdexcept>
+
+namespace world {
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+
+using Apply = void (*)(const Line&, ScenarioSetup&);
+
+void setIfGiven(const Options& options, const char* name, double& value) {
+  value = options.number(name, value);
+}
+
+void applyTeams(const Line& line, ScenarioSetup& setup) {
+  setup.deployment.teams = line.count(1);
+  setup.deployment.guaranteed = line.number(2);
+  setup.deployment.limit = line.number(3);
+}
+
+void applyWorkers(const Line& line, ScenarioSetup& setup) {
+  auto options = line.optionsFrom(1);
+  setIfGiven(options, "report", setup.deployment.reportS);
+  setIfGiven(options, "lease", setup.deployment.leaseS);
+  setIfGiven(options, "cancel", setup.deployment.cancelS);
+}
+
+void applyStore(const Line& line, ScenarioSetup& setup) {
+  auto options = line.optionsFrom(1);
+  setIfGiven(options, "rps", setup.deployment.rps);
+  setIfGiven(options, "writes", setup.deployment.writeRps);
+  setIfGiven(options, "value_kb", setup.deployment.valueKb);
+  setIfGiven(options, "txn", setup.deployment.txnOps);
+}
+
+void applyMachineType(const Line& line, ScenarioSetup& setup) {
+  auto options = line.optionsFrom(4);
+  CloudType type;
+  type.name = line.word(1);
+  type.size = {line.number(2), 0, line.number(3)};
+  type.price = options.number("price", 1);
+  type.spotPrice = options.number("spot", 0.45);
+  type.boot = static_cast<Ms>(kMsPerSecond * options.number("boot", 5));
+  type.capacity = static_cast<unsigned>(options.number("cap", 4));
+  type.spotCapacity = static_cast<unsigned>(options.number("spotcap", 2));
+  type.cacheGb = options.number("cache", 50);
+  type.fetchGbPerS = options.number("fetch", 1);
+  setup.deployment.types.push_back(type);
+}
+
+void applyNothing(const Line&, ScenarioSetup&) {}
+
+const std::map<std::string, Apply>& setupWords() {
+  static const std::map<std::string, Apply> words{
+      {"seeds", applyNothing},  // read by runScenario
+      {"vary", applyNothing},   // the same
+      {"seed",
+       [](const Line& line, ScenarioSetup& setup) {
+         setup.deployment.seed = static_cast<std::uint64_t>(line.number(1));
+       }},
+      {"controllers",
+       [](const Line& line, ScenarioSetup& setup) { setup.deployment.controllers = line.count(1); }},
+      {"zones", [](const Line& line, ScenarioSetup& setup) { setup.deployment.zones = line.wordsFrom(1); }},
+      {"teams", applyTeams},
+      {"guest", [](const Line&, ScenarioSetup& setup) { setup.deployment.guest = true; }},
+      {"workers", applyWorkers},
+      {"store", applyStore},
+      {"type", applyMachineType},
+      {"until", [](const Line& line, ScenarioSetup& setup) { setup.until = line.duration(1); }}};
+  return words;
+}
+
+cherryloft::Shape parseShape(const std::string& word) {
+  if (word == "service") return cherryloft::Shape::Service;
+  if (word == "gang") return cherryloft::Shape::Gang;
+  return cherryloft::Shape::Array;
+}
+
+cherryloft::Rank parseRank(const std::string& word) {
+  if (word == "prod") return cherryloft::Rank::Production;
+  if (word == "high") return cherryloft::Rank::High;
+  if (word == "normal") return cherryloft::Rank::Normal;
+  return cherryloft::Rank::BestEffort;
+}
+
+}  // namespace
+
+void applySetup(const Line& line, ScenarioSetup& setup) {
+  auto it = setupWords().find(line.word(0));
+  if (it == setupWords().end()) throw std::runtime_error("unknown word '" + line.word(0) + "'");
+  it->second(line, setup);
+}
+
+TaskNature parseJob(const std::string& id, const Options& options) {
+  TaskNature nature;
+  auto& spec = nature.spec;
+  double runS = options.number("run", 10);
+  spec.id = cherryloft::JobId{id};
+  spec.team = cherryloft::TeamId{"team-" + options.text("team", "0")};
+  spec.jobClass = options.text("class", "plain");
+  spec.shape = parseShape(options.text("shape", "array"));
+  spec.rank = parseRank(options.text("rank", "normal"));
+  spec.tasks = static_cast<std::uint32_t>(options.number("tasks", 1));
+  spec.each = {options.number("cores", 4), 0, options.number("ram", 4)};
+  spec.image = cherryloft::ImageId{options.text("image", "img-1")};
+  spec.imageGb = options.number("gb", 0.5);
+  spec.expectS = options.number("expect", runS);
+  spec.lendable = options.has("lendable");
+  spec.spread = options.has("spread");
+  spec.oneZone = options.has("one_zone");
+  if (options.has("site")) spec.zone = cherryloft::Zone{options.text("site")};
+  if (options.has("type")) spec.types = std::vector<std::string>{options.text("type")};
+  nature.run = static_cast<Ms>(runS * kMsPerSecond);
+  nature.fails = options.has("fails");
+  return nature;
+}
+
+}  // namespace world
