Fleet is parts of one job each: catalog, list, adoption, records, returns, rentals, planning

One class of 730 lines kept the state of seven tasks side by side, and leading() had to know what to forget of each. Each part now has its own state and a small interface; Fleet holds the plan and gives the parts their turns. The planning functions are moved as they are into fleet_planning.cpp.

--- /dev/null
+++ b/src/actors/cloud_catalog.cpp
@@ -0,0 +1,62 @@
+#include "actors/cloud_catalog.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kRefreshEvery{30'000};
+constexpr Duration kRetryAfter{1'000};
+constexpr Duration kKeepDeadline{2'000};
+
+// Spot prices move all the time and are no reason to write.
+std::string encodeWithoutSpotPrices(Catalog catalog) {
+  for (auto& type : catalog) type.spotPrice = 0;
+  return wire::encodeCatalog(catalog);
+}
+
+}  // namespace
+
+void CloudCatalog::useKept() {
+  if (prices_.empty()) prices_ = context_.directory.catalog;
+}
+
+void CloudCatalog::refresh(CallBudget& calls) {
+  bool due = refreshedAt_ == Time{} || context_.io.now() - refreshedAt_ >= kRefreshEvery;
+  if (!fetching_ && due && calls.tryTake()) fetch();
+}
+
+void CloudCatalog::fetch() {
+  fetching_ = true;
+  context_.callCloud({"GET", "/catalog", "", false}, [this](const HttpResult& result) { fetched(result); });
+}
+
+void CloudCatalog::fetched(const HttpResult& result) {
+  fetching_ = false;
+  auto fresh = result.answered(200) ? wire::parseCatalog(result.response.body) : std::nullopt;
+  auto now = context_.io.now();
+  refreshedAt_ = fresh ? now : now - kRefreshEvery + kRetryAfter;
+  if (!fresh) return;
+  prices_ = *fresh;
+  if (context_.leadership.active) keep(*fresh);
+}
+
+// Kept so that a cloud outage does not stop a restarted controller from deciding.
+void CloudCatalog::keep(const Catalog& fresh) {
+  const auto& directory = context_.directory;
+  bool same = !directory.catalog.empty() &&
+              encodeWithoutSpotPrices(directory.catalog) == encodeWithoutSpotPrices(fresh);
+  if (same) return;
+  auto value = wire::encodeCatalog(fresh);
+  if (value.size() > context_.settings.valueBytes) {
+    context_.log->error("the catalog of {} bytes is too large to be kept", value.size());
+    return;
+  }
+  wire::Transaction transaction;
+  transaction.when[keys::kCatalog] = directory.catalogStamp;
+  transaction.apply.push_back({keys::kCatalog, value, {}});
+  context_.store.txn(Urgency::Control, std::move(transaction), kKeepDeadline,
+                     [this](const TxnResult& result) {
+                       if (!result.ok()) refreshedAt_ = Time{};
+                     });
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/fleet_planning.cpp
@@ -0,0 +1,212 @@
+// What the fleet should become: which shares rent, which machines move between shares, and which go.
+#include <algorithm>
+
+#include "actors/fleet.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kLoadStale{5'000};
+constexpr Duration kAskAgain{5'000};
+constexpr Duration kCedeAgain{20'000};
+constexpr Duration kMoveTakes{20'000};  // after which a machine asked to move is taken to stay
+constexpr double kMinIdleS = 10;
+constexpr double kMinAgeS = 60;      // what the cloud charges at least
+constexpr unsigned kMostLetGo = 20;  // idle machines of a share in a turn
+
+}  // namespace
+
+void Fleet::plan() {
+  auto now = io_.now();
+  std::map<ShareNo, policy::ShareFleet> fleets;
+  std::map<ShareNo, policy::Targets> targets;
+  for (std::uint32_t k = 0; k < settings_.size(); ++k) {
+    auto s = loads_.find(ShareNo{k});
+    if (s == loads_.end() || now - s->second.at > kLoadStale) continue;
+    fleets[ShareNo{k}] = fleetOf(ShareNo{k});
+    targets[ShareNo{k}] =
+        policy::targets(fleets[ShareNo{k}], prices_, settings_.tuning.spareShare, settings_.patienceS());
+  }
+  bool beat = now - moveAt_ >= settings_.tuning.moveEvery;
+  if (beat) moveAt_ = now;
+  move(fleets, targets, beat);
+  // Spare room is common to all shares, as idle machines are moved on request.
+  double spare = 0, burst = 0;
+  for (const auto& [k, f] : fleets) {
+    spare += policy::coresOf(f) - targets[k].ample;
+    burst = std::max(burst, f.lendable.largestJob);
+  }
+  rentInTurn(fleets, targets);
+  cede(fleets);
+  for (const auto& [k, f] : fleets) planShare(k, f, targets[k], spare - burst);
+}
+
+// A share with work and no machine at all, while the cloud has none to give: the largest share cedes one, so
+// that none of its teams starves.
+void Fleet::cede(const std::map<ShareNo, policy::ShareFleet>& fleets) {
+  auto now = io_.now();
+  for (const auto& [to, need] : fleets) {
+    bool has = std::any_of(need.hosts.begin(), need.hosts.end(), [](const auto& h) { return h.cores > 0; });
+    if (has || need.firm.waiting + need.lendable.waiting <= 0 || now - cededAt_[to] < kCedeAgain) continue;
+    auto rich = std::max_element(fleets.begin(), fleets.end(), [](const auto& a, const auto& b) {
+      return a.second.hosts.size() < b.second.hosts.size();
+    });
+    if (rich->second.hosts.size() < 2) continue;
+    for (const auto& h : loads_[rich->first].load.hosts) {
+      if (!h.usable || (h.spot && need.lendable.waiting <= 0)) continue;
+      cededAt_[to] = now;
+      log_->info("share {} cedes {} to share {}", rich->first.value, h.host, to.value);
+      out_.wish({rich->first.value, h.host, mesh::HostWish::Cede, to.value});
+      break;
+    }
+  }
+}
+
+// One rental for each share in turn, the most pressed first, so that the first in line does not take all
+// there is.
+void Fleet::rentInTurn(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                       const std::map<ShareNo, policy::Targets>& targets) {
+  auto planned = fleets;
+  auto offers = unavailable();
+  for (bool any = true; any && calls_ >= 1;) {
+    any = false;
+    for (auto k : byPressure(planned, targets)) {
+      auto& f = planned[k];
+      bool keeps = std::any_of(f.hosts.begin(), f.hosts.end(), [](const auto& h) { return h.emptying; });
+      if (calls_ < 1 || (keeps && policy::isShort(f, targets.at(k)))) continue;  // planShare keeps that one
+      auto wish = policy::rent(f, targets.at(k), prices_, offers);
+      if (!wish) continue;
+      startRental(k, *wish);
+      f.hosts.push_back({wish->offer.type,
+                         wish->offer.zone,
+                         wish->offer.spot,
+                         wish->cores,
+                         true,
+                         -1,
+                         0,
+                         0,
+                         false,
+                         false,
+                         {}});
+      any = true;
+    }
+  }
+}
+
+std::vector<ShareNo> Fleet::byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                                       const std::map<ShareNo, policy::Targets>& targets) {
+  std::vector<ShareNo> out;
+  for (const auto& [k, _] : fleets) out.push_back(k);
+  std::stable_sort(out.begin(), out.end(), [&](ShareNo a, ShareNo b) {
+    return policy::pressure(fleets.at(a), targets.at(a)) > policy::pressure(fleets.at(b), targets.at(b));
+  });
+  return out;
+}
+
+void Fleet::planShare(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t, double spareSpot) {
+  auto now = io_.now();
+  if (log_->should_log(spdlog::level::debug)) {
+    double ordinary = 0, spot = 0;
+    for (const auto& h : f.hosts)
+      if (h.counts) (h.spot ? spot : ordinary) += h.cores;
+    log_->debug("share {}: firm {}+{} lendable {}+{} wants {} of {}, has {}+{} spot", k.value, f.firm.used,
+                f.firm.waiting, f.lendable.used, f.lendable.waiting, t.ordinary, t.total, ordinary, spot);
+  }
+  for (auto& h : loads_[k].load.hosts) {
+    if (!h.emptying || h.idleS <= 0) continue;
+    auto& asked = asked_[HostId{h.host}];
+    if (asked != Time{} && now - asked < kAskAgain) continue;
+    asked = now;
+    out_.wish({k.value, h.host, mesh::HostWish::Return, 0});
+  }
+  if (policy::isShort(f, t)) {
+    // A machine that was to empty itself is back at once, and paid for already.
+    auto& hosts = loads_[k].load.hosts;
+    auto kept =
+        std::find_if(hosts.begin(), hosts.end(), [](const auto& h) { return h.emptying && h.idleS <= 0; });
+    if (kept != hosts.end()) {
+      kept->emptying = false;
+      out_.wish({k.value, kept->host, mesh::HostWish::Keep, 0});
+    }
+    return;
+  }
+  if (auto small = policy::replacement(f, t, prices_, unavailable(), kMinAgeS); small && calls_ >= 1)
+    return startRental(k, *small);
+  auto left = f;
+  unsigned gone = 0;
+  while (gone < kMostLetGo) {
+    auto go = policy::letGo(left, t, prices_, kMinIdleS, spareSpot);
+    if (!go) break;
+    auto& want = left.hosts[*go];
+    want.counts = false;
+    if (want.spot) spareSpot -= want.cores;
+    ++gone;
+    auto& asked = asked_[want.id];
+    if (asked != Time{} && now - asked < kAskAgain) continue;
+    asked = now;
+    log_->info("letting go of idle {}", want.id.value);
+    out_.wish({k.value, want.id.value, mesh::HostWish::Return, 0});
+  }
+  if (gone == 0) emptyOne(k, f, t);
+}
+
+// Consolidates: a machine that the others can do without takes no more work.
+void Fleet::emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t) {
+  auto busy = policy::toEmpty(f, t, prices_, kMinAgeS);
+  if (!busy) return;
+  const auto& want = f.hosts[*busy];
+  for (auto& h : loads_[k].load.hosts) {
+    if (h.host != want.id.value) continue;
+    h.emptying = true;
+    log_->info("share {} empties {}", k.value, h.host);
+    return out_.wish({k.value, h.host, mesh::HostWish::Empty, 0});
+  }
+}
+
+// Cores of machines that were asked to move to a share and are not recorded there yet: a record may take its
+// time, and a share that waits for it must not be sent ever more machines.
+double Fleet::comingTo(ShareNo to) {
+  double cores = 0;
+  std::erase_if(moving_, [&](const auto& m) {
+    auto h = dir_.hosts.find(m.first);
+    return h == dir_.hosts.end() || h->second.record.share == m.second.to ||
+           io_.now() - m.second.at > kMoveTakes;
+  });
+  for (const auto& [_, m] : moving_)
+    if (m.to == to) cores += m.cores;
+  return cores;
+}
+
+// The design's rebalancing: idle machines of shares that can spare them go to waiting work. Between two beats
+// the same is done for one machine a share and turn, on request (DESIGN.md, exceptions).
+void Fleet::move(const std::map<ShareNo, policy::ShareFleet>& fleets,
+                 const std::map<ShareNo, policy::Targets>& targets, bool beat) {
+  auto now = io_.now();
+  for (auto to : byPressure(fleets, targets)) {
+    const auto& need = fleets.at(to);
+    double missing = need.firm.waiting + need.lendable.waiting - comingTo(to);
+    for (const auto& [from, spare] : fleets) {
+      if (from == to) continue;
+      const auto& t = targets.at(from);
+      double left = policy::coresOf(spare) - t.total;
+      for (auto& h : loads_[from].load.hosts) {
+        const auto* type = findType(prices_, h.type);
+        bool spareable = h.emptying || (h.usable && type && type->size.cores <= left);
+        if (missing <= 0 || !type || h.idleS <= 0 || !spareable) continue;
+        if (h.spot && need.lendable.waiting <= 0) continue;
+        auto& asked = asked_[HostId{h.host}];
+        if (asked != Time{} && now - asked < kAskAgain) continue;
+        asked = now;
+        if (!h.emptying) left -= type->size.cores;
+        missing -= type->size.cores;
+        h.idleS = 0;
+        moving_[HostId{h.host}] = {to, now, type->size.cores};
+        log_->info("moving {} from share {} to {}", h.host, from.value, to.value);
+        out_.wish({from.value, h.host, mesh::HostWish::Move, to.value});
+        if (!beat) break;
+      }
+    }
+  }
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/machine_adoption.cpp
@@ -0,0 +1,115 @@
+#include "actors/machine_adoption.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kDealTogether{1'000};
+constexpr Duration kAskDeadline{2'000};
+constexpr Duration kAskAgain{1'000};
+constexpr std::size_t kMostAsking = 16;  // machines that turned up, asked at a time
+
+long machinesOfType(const ShareGap& gap, const std::string& type) {
+  auto it = gap.machinesOfType.find(type);
+  return it == gap.machinesOfType.end() ? 0 : it->second;
+}
+
+}  // namespace
+
+ShareNo neediestShare(const ShareGaps& gaps, const std::string& type) {
+  auto needier = [&](const auto& a, const auto& b) {
+    long ofA = machinesOfType(a.second, type);
+    long ofB = machinesOfType(b.second, type);
+    return ofA != ofB ? ofA < ofB : a.second.cores > b.second.cores;
+  };
+  return std::min_element(gaps.begin(), gaps.end(), needier)->first;
+}
+
+MachineAdoption::MachineAdoption(const FleetContext& context, const CloudCatalog& catalog,
+                                 MachineRecords& records, const MachineReturns& returns, FindGaps findGaps)
+    : context_(context),
+      catalog_(catalog),
+      records_(records),
+      returns_(returns),
+      findGaps_(std::move(findGaps)) {}
+
+void MachineAdoption::restart() {
+  asking_.clear();
+  waiting_.clear();
+}
+
+void MachineAdoption::adopt(const HostId& id, wire::HostRecord record) {
+  if (records_.pending(id)) return;
+  if (waiting_.empty()) dealAt_ = context_.io.now() + kDealTogether;
+  waiting_.emplace(id, std::move(record));
+}
+
+bool MachineAdoption::unknown(const HostId& id) const {
+  return context_.directory.hosts.count(id) == 0 && !returns_.returned(id);
+}
+
+// Its report may be a late copy, and the machine gone: it is asked.
+void MachineAdoption::reported(const wire::Report& report) {
+  if (!context_.leadership.active || !unknown(report.host) || report.address.empty()) return;
+  if (records_.pending(report.host) || asking_.size() >= kMostAsking) return;
+  if (!asking_.insert(report.host).second) return;
+  Address address;
+  try {
+    address = parseAddress(report.address);
+  } catch (const SettingsError&) {
+    return;
+  }
+  context_.io.call(address, {"GET", "/show", "", false}, kAskDeadline,
+                   [this, id = report.host](const HttpResult& result) { asked(id, result); });
+}
+
+void MachineAdoption::asked(const HostId& id, const HttpResult& result) {
+  auto report = result.answered(200) ? wire::parseReport(result.response.body) : std::nullopt;
+  context_.io.after(kAskAgain, [this, id] { asking_.erase(id); });
+  if (!context_.leadership.active || !report || report->host != id || !unknown(id)) return;
+  adopt(id, {ShareNo{}, Epoch{}, wire::HostPhase::InUse, report->type, report->zone, report->spot,
+             report->address, context_.io.wall()});
+}
+
+// The small ones first, so that each share has some of each size: services settle on the smallest.
+std::vector<HostId> MachineAdoption::smallestFirst() const {
+  std::vector<std::pair<double, HostId>> bySize;
+  for (const auto& [id, record] : waiting_) {
+    const auto* type = findType(catalog_.prices(), record.type);
+    bySize.emplace_back(type ? type->size.cores : 1, id);
+  }
+  std::sort(bySize.begin(), bySize.end());
+  std::vector<HostId> ids;
+  for (const auto& [_, id] : bySize) ids.push_back(id);
+  return ids;
+}
+
+void MachineAdoption::dealOut() {
+  if (waiting_.empty() || context_.io.now() < dealAt_) return;
+  auto order = smallestFirst();
+  auto waiting = std::exchange(waiting_, {});
+  auto gaps = findGaps_();
+  std::map<std::tuple<ShareNo, std::string, Zone, bool>, wire::GroupRecord> groups;
+  for (const auto& id : order) {
+    const auto& record = waiting.at(id);
+    auto share = neediestShare(gaps, record.type);
+    auto& gap = gaps[share];
+    const auto* type = findType(catalog_.prices(), record.type);
+    gap.cores -= type ? type->size.cores : 1;
+    ++gap.machinesOfType[record.type];
+    records_.markPending(id);
+    wire::GroupRecord fresh{share, Epoch{}, record.type, record.zone, record.spot, context_.io.wall(), {}};
+    auto& group = groups.try_emplace({share, record.type, record.zone, record.spot}, fresh).first->second;
+    group.members.push_back({id, wire::HostPhase::InUse, record.address});
+  }
+  for (const auto& [_, group] : groups) {
+    context_.log->info("adopting {} {} in {} for share {}", group.members.size(), group.type,
+                       group.zone.value, group.share.value);
+    records_.create(group);
+  }
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/machine_list.h
@@ -0,0 +1,47 @@
+// MachineList: reads the cloud's list of machines and compares it with the records.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "actors/machine_adoption.h"
+#include "wire/cloud.h"
+
+namespace cherryloft {
+
+class MachineList {
+ public:
+  MachineList(const FleetContext& context, const CloudCatalog& catalog, MachineAdoption& adoption,
+              MachineReturns& returns)
+      : context_(context), catalog_(catalog), adoption_(adoption), returns_(returns) {}
+  // A new leadership begins.
+  void restart() { seen_.clear(); }
+  // Asks for the list if it is time to and the budget has a call left.
+  void refresh(CallBudget& calls);
+  // Returns the machines whose records outlived them.
+  void reviewRecords();
+
+ private:
+  using Hosts = std::vector<wire::ListedHost>;
+  struct Seen {
+    Time first{}, last{};  // lists that named it
+  };
+  void fetchFrom(const std::string& since, std::shared_ptr<Hosts> hosts);
+  void fetched(const Hosts& hosts);
+  void reviewUnrecorded(const wire::ListedHost& host);
+  void reviewRecorded(const wire::ListedHost& host);
+  void reviewNoLongerListed();
+  void reviewNeverListed();
+
+  const FleetContext& context_;
+  const CloudCatalog& catalog_;
+  MachineAdoption& adoption_;
+  MachineReturns& returns_;
+  Time askedAt_{};
+  Time listedAt_{};  // when the last list that came was asked for
+  bool fetching_ = false;
+  std::map<HostId, Seen> seen_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/machine_records.cpp
@@ -0,0 +1,117 @@
+#include "actors/machine_records.h"
+
+#include <algorithm>
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kCatchUpAgain{300};
+constexpr Duration kSendDeadline{3'000};
+constexpr Duration kSendAgain{200};
+
+}  // namespace
+
+void MachineRecords::restart() {
+  current_ = false;
+  waiting_.clear();
+  sent_.clear();
+  pending_.clear();
+  catchUp();
+}
+
+// What former leaders recorded must be in view before anything is recorded anew: their writes fail from our
+// epoch on, so a look after it sees all of them. The same goes for what we recorded ourselves.
+void MachineRecords::catchUp() {
+  auto seen = [this, since = context_.leadership.since](bool ok) {
+    if (context_.leadership.continues(since)) caughtUp(ok);
+  };
+  context_.store.catchUp(keys::kShares, [this, seen](bool ok) {
+    if (!ok) return seen(false);
+    context_.store.catchUp(keys::kHosts, seen);
+  });
+}
+
+void MachineRecords::caughtUp(bool ok) {
+  if (!ok) {
+    context_.io.after(kCatchUpAgain, [this, since = context_.leadership.since] {
+      if (since == context_.leadership.since) catchUp();
+    });
+    return;
+  }
+  current_ = true;
+  // Recorded, and then in view; or not, and then the machine list names them again.
+  for (const auto& id : std::exchange(sent_, {})) pending_.erase(id);
+  sendNext();
+}
+
+void MachineRecords::create(const wire::GroupRecord& machines) {
+  if (!context_.leadership.active || !context_.directory.leader) return;
+  auto most = wire::membersIn(context_.settings.valueBytes);
+  for (std::size_t from = 0; from < machines.members.size(); from += most) {
+    auto to = std::min(from + most, machines.members.size());
+    wire::GroupRecord group = machines;
+    group.members.assign(machines.members.begin() + static_cast<std::ptrdiff_t>(from),
+                         machines.members.begin() + static_cast<std::ptrdiff_t>(to));
+    for (const auto& member : group.members) markPending(member.id);
+    waiting_.push_back(std::move(group));
+  }
+  sendNext();
+}
+
+// That a group's key is absent does not tell a late transaction that it was never there: so all write one key
+// under its stamp, and none is carried out after a newer one. It could put machines into two groups, or bring
+// back what was returned.
+void MachineRecords::sendNext() {
+  const auto& leader = context_.directory.leader;
+  if (!context_.leadership.active || !leader || !current_ || !sent_.empty()) return;
+  const auto& settings = context_.settings;
+  wire::Transaction transaction;
+  transaction.when[keys::kLeader] = leader->stamp;
+  transaction.when[keys::kGroups] = context_.directory.groupsStamp;
+  transaction.apply.push_back({keys::kGroups, wire::encodeCounter(leader->record.epoch), {}});
+  std::size_t weight = 0;
+  while (!waiting_.empty() && transaction.apply.size() < settings.txnOps &&
+         (transaction.apply.size() == 1 || weight + settings.valueBytes <= wire::kMostWeight)) {
+    auto group = std::move(waiting_.front());
+    waiting_.pop_front();
+    dropKnown(group);
+    if (group.members.empty()) continue;
+    auto key = keys::group(group.members.front().id, leader->record.epoch);
+    wire::Write write{key, wire::encodeGroup(group), {}};
+    weight += wire::weightOf(write);
+    transaction.when[key] = Stamp{0};
+    transaction.apply.push_back(std::move(write));
+  }
+  if (transaction.apply.size() > 1) send(transaction);
+}
+
+// Leaves the machines that have no record yet, and notes them as sent.
+void MachineRecords::dropKnown(wire::GroupRecord& group) {
+  std::erase_if(group.members, [&](const auto& member) {
+    bool known = context_.directory.hosts.count(member.id) > 0 || wasReturned_(member.id);
+    if (known) pending_.erase(member.id);
+    return known || !sent_.insert(member.id).second;
+  });
+}
+
+void MachineRecords::send(const wire::Transaction& transaction) {
+  auto done = [this, transaction, since = context_.leadership.since](const TxnResult& result) {
+    if (context_.leadership.continues(since)) sent(transaction, result);
+  };
+  context_.store.txn(Urgency::Control, transaction, kSendDeadline, std::move(done));
+}
+
+// After no answer the same again: either it is done now, or the conflict tells that it was or never will be.
+void MachineRecords::sent(const wire::Transaction& transaction, const TxnResult& result) {
+  using Outcome = TxnResult::Outcome;
+  if (result.outcome == Outcome::Unknown || result.outcome == Outcome::Refused) {
+    context_.io.after(kSendAgain, [this, transaction, since = context_.leadership.since] {
+      if (context_.leadership.continues(since)) send(transaction);
+    });
+    return;
+  }
+  current_ = false;
+  catchUp();
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/machine_returns.cpp
@@ -0,0 +1,120 @@
+#include "actors/machine_returns.h"
+
+#include <map>
+
+#include "wire/cloud.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr std::size_t kMostReturns = 100;
+constexpr Duration kRewriteDeadline{4'000};
+
+}  // namespace
+
+void MachineReturns::request(const HostId& id, const char* why) {
+  if (context_.directory.hosts.count(id) == 0 || !toMark_.insert(id).second) return;
+  context_.log->info("{} {}: returning it", id.value, why);
+}
+
+void MachineReturns::markRequested() {
+  const auto& hosts = context_.directory.hosts;
+  std::erase_if(toMark_, [&](const HostId& id) {
+    auto host = hosts.find(id);
+    return host == hosts.end() || host->second.record.phase == wire::HostPhase::Returning;
+  });
+  if (toMark_.empty() || marking_ || !context_.directory.leader) return;
+  marking_ = true;
+  auto written = rewrite(toMark_, Change::Mark, [this](const TxnResult&) { marking_ = false; });
+  if (written.empty()) marking_ = false;
+}
+
+// The record goes only after the cloud's word: its absence proves to all that nothing is left on the machine.
+void MachineReturns::returnMarked(CallBudget& calls) {
+  if (returning_ || !calls.tryTake()) return;
+  auto machines = markedMachines();
+  if (machines.empty() || !context_.directory.leader) return calls.giveBack();
+  returning_ = true;
+  context_.callCloud({"POST", "/hosts/return", wire::encodeReturn(machines), false},
+                     [this, machines](const HttpResult& result) { answered(machines, result); });
+}
+
+// As many as one call takes, of as many groups as one transaction takes.
+std::vector<HostId> MachineReturns::markedMachines() const {
+  std::vector<HostId> machines;
+  std::set<std::string> groups;
+  for (const auto& [id, host] : context_.directory.hosts) {
+    if (host.record.phase != wire::HostPhase::Returning || machines.size() >= kMostReturns) continue;
+    if (groups.count(host.group) == 0 && groups.size() >= context_.settings.txnOps) continue;
+    groups.insert(host.group);
+    machines.push_back(id);
+  }
+  return machines;
+}
+
+void MachineReturns::answered(const std::vector<HostId>& machines, const HttpResult& result) {
+  returning_ = result.answered(200) && context_.leadership.active && context_.directory.leader;
+  if (!returning_) return;
+  for (const auto& id : machines) noteReturned(id);
+  auto written = rewrite({machines.begin(), machines.end()}, Change::Drop,
+                         [this](const TxnResult&) { returning_ = false; });
+  if (written.empty()) returning_ = false;
+}
+
+void MachineReturns::noteReturned(const HostId& id) {
+  context_.log->info("{} returned", id.value);
+  auto known = context_.directory.hosts.find(id);
+  if (known != context_.directory.hosts.end()) {
+    const auto& record = known->second.record;
+    freed_({record.type, record.zone, record.spot});
+  }
+  returned_.insert(id);
+}
+
+// Writes machine groups anew with a change to some of their members, as many as one transaction takes.
+// Returns the machines that it changed.
+std::vector<HostId> MachineReturns::rewrite(const std::set<HostId>& ids, Change change,
+                                            std::function<void(const TxnResult&)> done) {
+  const auto& directory = context_.directory;
+  std::map<std::string, std::set<HostId>> byGroup;
+  for (const auto& id : ids)
+    if (auto host = directory.hosts.find(id); host != directory.hosts.end())
+      byGroup[host->second.group].insert(id);
+  wire::Transaction transaction;
+  std::size_t weight = 0;
+  std::vector<HostId> written;
+  transaction.when[keys::kLeader] = directory.leader->stamp;
+  // What is dropped frees tasks; what is only marked can wait.
+  auto most = change == Change::Drop ? context_.settings.txnOps : context_.store.unhurried();
+  for (const auto& [key, changed] : byGroup) {
+    if (transaction.apply.size() >= most || weight + context_.settings.valueBytes > wire::kMostWeight) break;
+    auto group = directory.group(key);
+    if (group.members.empty()) continue;
+    transaction.when[key] = directory.hosts.at(group.members.front().id).stamp;
+    auto write = rewritten(key, std::move(group), changed, change);
+    weight += wire::weightOf(write);
+    transaction.apply.push_back(std::move(write));
+    written.insert(written.end(), changed.begin(), changed.end());
+  }
+  if (transaction.apply.empty()) return {};
+  // In turn with the commits of our own share, never before all of them: where machines come and go by the
+  // hundreds this alone would take all changes there are.
+  context_.store.txn(Urgency::Work, std::move(transaction), kRewriteDeadline, std::move(done));
+  return written;
+}
+
+wire::Write MachineReturns::rewritten(const std::string& key, wire::GroupRecord group,
+                                      const std::set<HostId>& changed, Change change) {
+  auto isChanged = [&](const auto& member) { return changed.count(member.id) > 0; };
+  if (change == Change::Drop) {
+    std::erase_if(group.members, isChanged);
+  } else {
+    for (auto& member : group.members)
+      if (isChanged(member)) member.phase = wire::HostPhase::Returning;
+  }
+  wire::Write write{key, std::nullopt, {}};
+  if (!group.members.empty()) write.value = wire::encodeGroup(group);
+  return write;
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/machine_returns.h
@@ -0,0 +1,49 @@
+// MachineReturns: marks machines that are to go in their records, gives them back to the cloud and then drops
+// the records.
+#pragma once
+
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "actors/fleet_context.h"
+#include "policy/fleet.h"
+
+namespace cherryloft {
+
+class MachineReturns {
+ public:
+  // There is a machine of that offer to be had again.
+  using Freed = std::function<void(const policy::Offer&)>;
+
+  MachineReturns(const FleetContext& context, Freed freed) : context_(context), freed_(std::move(freed)) {}
+  // A new leadership begins.
+  void restart() { toMark_.clear(); }
+  // The machine is to be returned, for that reason.
+  void request(const HostId& id, const char* why);
+  // Whether this controller gave the machine back to the cloud.
+  bool returned(const HostId& id) const { return returned_.count(id) > 0; }
+  // Writes down what was requested.
+  void markRequested();
+  // Gives marked machines back to the cloud if the budget has a call left.
+  void returnMarked(CallBudget& calls);
+
+ private:
+  enum class Change : std::uint8_t { Mark, Drop };
+  std::vector<HostId> markedMachines() const;
+  void answered(const std::vector<HostId>& machines, const HttpResult& result);
+  void noteReturned(const HostId& id);
+  std::vector<HostId> rewrite(const std::set<HostId>& ids, Change change,
+                              std::function<void(const TxnResult&)> done);
+  static wire::Write rewritten(const std::string& key, wire::GroupRecord group,
+                               const std::set<HostId>& changed, Change change);
+
+  const FleetContext& context_;
+  Freed freed_;
+  std::set<HostId> toMark_;
+  bool marking_ = false;
+  std::set<HostId> returned_;
+  bool returning_ = false;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/rentals.h
@@ -0,0 +1,58 @@
+// Rentals: rents machines from the cloud, each order under a claim of its own, so that it is never carried
+// out twice.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "actors/machine_records.h"
+#include "policy/fleet.h"
+#include "wire/cloud.h"
+
+namespace cherryloft {
+
+class Rentals {
+ public:
+  Rentals(const FleetContext& context, MachineRecords& records, std::uint64_t seed)
+      : context_(context), records_(records), rng_(seed) {}
+  // A new leadership begins.
+  void restart() { open_.clear(); }
+  // Orders machines for a share.
+  void start(ShareNo share, const policy::Wish& wish);
+  // Adds the machines that are on order for the share to its fleet.
+  void addOrdered(ShareNo share, policy::ShareFleet& fleet) const;
+  // Offers that the cloud refused of late.
+  std::set<policy::Offer> refused() const;
+  // There is a machine of that offer to be had again.
+  void available(const policy::Offer& offer) { refusedUntil_.erase(offer); }
+
+ private:
+  struct Rental {
+    wire::Rental request;
+    ShareNo share;
+    double cores = 0;
+  };
+  using RentalPtr = std::shared_ptr<Rental>;
+
+  std::string nextClaim();
+  void send(const RentalPtr& rental);
+  void answered(const RentalPtr& rental, const HttpResult& result);
+  void rented(const Rental& rental, const std::vector<HostId>& machines);
+  void backOff(const policy::Offer& offer);
+  void sendAgain(const RentalPtr& rental);
+  void close(const RentalPtr& rental);
+
+  const FleetContext& context_;
+  MachineRecords& records_;
+  std::mt19937_64 rng_;
+  std::uint64_t claims_ = 0;     // of this process: it may lead twice under one epoch
+  std::vector<RentalPtr> open_;  // not yet answered
+  std::map<policy::Offer, Time> refusedUntil_;
+  std::map<policy::Offer, Duration> refusedFor_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/tests/unit/rentals_test.cpp
@@ -0,0 +1,83 @@
+// How machines are ordered from the cloud, and what becomes of the orders.
+#include "actors/rentals.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "unit/clock_io.h"
+#include "world/world.h"
+
+using namespace cherryloft;
+
+namespace {
+
+struct CloudIo : ClockIo {
+  std::vector<HttpRequest> requests;
+  std::vector<HttpDone> open;
+  void call(const Address&, HttpRequest request, Duration, HttpDone done) override {
+    if (request.target != "/hosts") return;
+    requests.push_back(std::move(request));
+    open.push_back(std::move(done));
+  }
+  void answer(std::size_t n, int status, const std::string& body) {
+    auto done = open.at(n);
+    done({HttpResult::Outcome::Answered, {status, body, false, 0}});
+  }
+  std::string claim(std::size_t n) const { return nlohmann::json::parse(requests.at(n).body)["claim"]; }
+};
+
+struct RentalsTest : testing::Test {
+  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
+  CloudIo io;
+  StateStore store{settings, io, silentLog(), 1};
+  Directory directory;
+  Leadership leadership{true, io.now()};
+  FleetContext context{settings, io, silentLog(), store, directory, leadership};
+  MachineRecords records{context, [](const HostId&) { return false; }};
+  Rentals rentals{context, records, 1};
+  policy::Wish wish{{"m", settings.zones[0], false}, 2, 16};
+
+  RentalsTest() { directory.leader = KnownOwner{{settings.node, Epoch{7}}, Stamp{70}}; }
+  std::size_t ordered(ShareNo share) const {
+    policy::ShareFleet fleet;
+    rentals.addOrdered(share, fleet);
+    return fleet.hosts.size();
+  }
+};
+
+const std::string kNoCapacity = R"({"error":"no capacity"})";
+
+}  // namespace
+
+TEST_F(RentalsTest, AnOrderCountsForItsShareUntilItIsAnswered) {
+  rentals.start(ShareNo{1}, wish);
+  EXPECT_EQ(ordered(ShareNo{1}), 1U);
+  EXPECT_EQ(ordered(ShareNo{0}), 0U);
+  io.answer(0, 400, "{}");
+  EXPECT_EQ(ordered(ShareNo{1}), 0U);
+}
+
+TEST_F(RentalsTest, WithoutAnAnswerTheSameClaimIsSentAgain) {
+  rentals.start(ShareNo{1}, wish);
+  auto done = io.open.at(0);
+  done({HttpResult::Outcome::Unknown, {}});
+  io.clock.run(io.clock.now() + 2'000);
+  ASSERT_EQ(io.requests.size(), 2U);
+  EXPECT_EQ(io.claim(0), io.claim(1));
+}
+
+TEST_F(RentalsTest, AnOfferWithoutCapacityIsRefusedForEverLonger) {
+  rentals.start(ShareNo{1}, wish);
+  io.answer(0, 503, kNoCapacity);
+  EXPECT_EQ(rentals.refused().count(wish.offer), 1U);
+  io.clock.run(io.clock.now() + 9'100);
+  EXPECT_TRUE(rentals.refused().empty());
+  rentals.start(ShareNo{1}, wish);
+  EXPECT_NE(io.claim(0), io.claim(1));
+  io.answer(1, 503, kNoCapacity);
+  io.clock.run(io.clock.now() + 15'000);
+  EXPECT_EQ(rentals.refused().count(wish.offer), 1U);
+  rentals.available(wish.offer);
+  EXPECT_TRUE(rentals.refused().empty());
+}
