--- a/tests/world/checker.h
+++ b/tests/world/checker.h
@@ -71,6 +71,9 @@
   // A worker's lease ran out with tasks on it; a report of one was not taken.
   void leaseEnded() { ++leasesEnded_; }
   void reportLost() { ++reportsLost_; }
+  // A worker refused a command to start or stop a task, as it had heard a later owner before.
+  void commandOutdated() { ++commandsOutdated_; }
+  unsigned commandsOutdated() const { return commandsOutdated_; }
   void countReportsLost() { reportsLost_ = 0; }
   unsigned leasesEnded() const { return leasesEnded_; }
   unsigned reportsLost() const { return reportsLost_; }
@@ -130,7 +133,7 @@
   const cherryloft::Settings& settings_;
   std::map<std::string, Job> jobs_;
   Ms troublesEnd_ = 0;
-  unsigned leasesEnded_ = 0, reportsLost_ = 0, startsAfterCancel_ = 0;
+  unsigned leasesEnded_ = 0, reportsLost_ = 0, startsAfterCancel_ = 0, commandsOutdated_ = 0;
   std::vector<TypeSize> types_;
   std::function<std::vector<Room>()> rooms_;
   std::function<void(const std::string&)> whenAllDone_;
--- a/tests/world/net.cpp
+++ b/tests/world/net.cpp
@@ -51,13 +51,15 @@
     if (clock_.now() >= c.until || r.target != c.path || !matches(c.from, from)) continue;
     auto late =
         static_cast<Ms>(clock_.uniform(static_cast<double>(c.lateFrom), static_cast<double>(c.lateTo)));
-    clock_.after(late, [this, from, r, to = c.to[clock_.rng() % c.to.size()]] {
-      sentAt_ = clock_.now();
-      if (auto h = handlers_.find(to); h != handlers_.end()) h->second(from, r, [](HttpResponse) {});
-    });
+    clock_.after(late, [this, from, r, to = c.to[clock_.rng() % c.to.size()]] { deliverCopy(from, to, r); });
   }
 }
 
+void Net::deliverCopy(const std::string& from, const std::string& to, const HttpRequest& r) {
+  sentAt_ = clock_.now();
+  if (auto h = handlers_.find(to); h != handlers_.end()) h->second(from, r, [](HttpResponse) {});
+}
+
 const Net::Cut* Net::cutBetween(const std::string& x, const std::string& y, bool opening) const {
   const Cut* longest = nullptr;
   for (const auto& c : cuts_) {
@@ -92,6 +94,7 @@
   };
   clock_.after(deadline, [settle, sent] { settle({*sent ? Outcome::Unknown : Outcome::NotSent, {}}); });
   if (!copies_.empty()) copy(from, r);
+  if (heard_) heard_(from, r);
   bool lost = losing_.erase({from, to}) > 0;
   auto t = arrival(from, to, true);
   if (!t) return;  // the connection never comes about
--- a/tests/world/net.h
+++ b/tests/world/net.h
@@ -29,7 +29,9 @@
   // One-way words between controllers.
   void tell(const std::string& from, const std::string& to, std::function<void()> deliver);
 
-  // Patterns: a party's name, or a prefix that ends in '*'. A cut is one between any of a and any of b.
+  // Patterns: a party's name, or a prefix that ends in '*'.
+  static bool matches(const std::string& pattern, const std::string& name);
+  // A cut is one between any of a and any of b.
   void cut(const std::string& a, const std::string& b, Ms until, bool hold);
   // The same for what goes from a to b only: a is heard no more, and hears all.
   void mute(const std::string& a, const std::string& b, Ms until, bool hold);
@@ -47,6 +49,10 @@
   // late.
   void copies(const std::string& from, const std::string& path, std::vector<std::string> to, Ms until,
               Ms lateFrom, Ms lateTo);
+  // Called with every request that anybody sends.
+  void overhear(std::function<void(const std::string& from, const HttpRequest&)> f) { heard_ = std::move(f); }
+  // Delivers a copy of such a request; its answer goes nowhere.
+  void deliverCopy(const std::string& from, const std::string& to, const HttpRequest& r);
   // The answer of the next request from a to b is lost, though the request is carried out.
   void loseAnswer(const std::string& from, const std::string& to) { losing_.insert({from, to}); }
 
@@ -70,7 +76,6 @@
     Ms until, lateFrom, lateTo;
   };
   void copy(const std::string& from, const HttpRequest& r);
-  static bool matches(const std::string& pattern, const std::string& name);
   const Cut* cutBetween(const std::string& x, const std::string& y, bool opening) const;
   Ms delayOf(const std::string& from, const std::string& to, const std::string& path, bool answers);
   // When something sent now arrives; nothing if never.
@@ -80,6 +85,7 @@
   std::map<std::string, Handler> handlers_;
   std::vector<Cut> cuts_;
   std::vector<Copies> copies_;
+  std::function<void(const std::string&, const HttpRequest&)> heard_;
   std::vector<Delay> delays_;
   Ms sentAt_ = 0;
   std::set<std::pair<std::string, std::string>> losing_;
--- a/tests/world/odd_users.cpp
+++ b/tests/world/odd_users.cpp
@@ -46,17 +46,19 @@
   trySubmit(id, body);
 }
 
-void World::resubmit(const std::string& id) {
+void World::resubmit(const std::string& id, Node node) {
   auto nature = natures.find(id);
   if (nature == natures.end()) return;
-  request({"POST", "/v1/jobs", bodyOf(nature->second), false}, 5000, [this, id](HttpResult h) {
+  auto heard = [this, id](HttpResult h) {
     if (h.answered(200) || h.answered(201)) return checker.told(id, statusIn(h), said_);
     if (h.answered(400) || h.answered(422)) return checker.refusedRetry(id, h.response.status);
     clock.after(1000, [this, id] { resubmit(id); });
-  });
+  };
+  request({"POST", "/v1/jobs", bodyOf(nature->second), false}, 5000, heard, node);
 }
 
 void World::ended(const std::string& id) {
+  lookClosely(id);
   auto it = atEnd_.find(id);
   if (it == atEnd_.end()) return;
   for (const auto& a : it->second)
--- a/tests/world/scenario.cpp
+++ b/tests/world/scenario.cpp
@@ -269,7 +269,7 @@
         worker->plant(jobId(w.at(3)), w.size() > 5 ? 99 : 0);
     } else if (verb == "plant-told") {
       x.checker.told(jobId(w.at(3)), w.at(4), {now, now, 0});
-    } else if (!odd(w) && !planted(w)) {
+    } else if (!odd(w) && !met(w) && !planted(w)) {
       throw std::runtime_error("unknown event '" + verb + "'");
     }
   }
@@ -309,6 +309,46 @@
     }
     return true;
   }
+  // stream FIRST COUNT PER_SECOND options…, with `cancel=SHARE` of them called off while they wait or run
+  void stream(const Words& w) {
+    auto& x = *world_;
+    auto o = options(w, 6);
+    double cancelled = o.count("cancel") ? number(o["cancel"]) : 0;
+    Words one(w.begin() + 5, w.end());  // its number and the options
+    for (unsigned i = 0; i < number(w.at(4)); ++i) {
+      one[0] = std::to_string(static_cast<unsigned>(number(w.at(3))) + i);
+      auto n = natureOf(one, 0);
+      auto at = static_cast<Ms>(1000 * i / number(w.at(5)));
+      x.clock.after(at, [&x, n] { x.submit(n.spec.id.value, n); });
+      if (!x.clock.chance(cancelled)) continue;
+      auto later = static_cast<Ms>(x.clock.uniform(50, static_cast<double>(n.run) + 1000));
+      x.clock.after(at + later, [&x, id = n.spec.id.value] { x.withdraw(id); });
+    }
+  }
+  // Troubles that are timed to meet something else.
+  bool met(const Words& w) {
+    auto& x = *world_;
+    const auto& verb = w.at(2);
+    Ms now = x.clock.now();
+    if (verb == "stream") {
+      stream(w);
+    } else if (verb == "withdraw-many") {
+      // withdraw-many FIRST COUNT EACH WITHIN
+      auto first = static_cast<unsigned>(number(w.at(3)));
+      for (unsigned i = 0; i < number(w.at(4)); i += static_cast<unsigned>(number(w.at(5))))
+        x.clock.after(static_cast<Ms>(x.clock.uniform(0, static_cast<double>(ms(w.at(6))))),
+                      [&x, id = jobId(std::to_string(first + i))] { x.withdraw(id); });
+    } else if (verb == "close-looks") {
+      x.closeLooks(number(w.at(3)), now + ms(w.at(4)));
+    } else if (verb == "lost-answers") {
+      x.store.loseAnswers(number(w.at(3)), now + ms(w.at(4)));
+    } else if (verb == "keep-reports") {
+      x.keepReports(partyOf(w.at(3)), now + ms(w.at(4)));
+    } else {
+      return false;
+    }
+    return true;
+  }
   bool planted(const Words& w) {
     auto& x = *world_;
     const auto& verb = w.at(2);
@@ -346,10 +386,11 @@
   // When the trouble that an event brings is over; what never ends counts as over at once.
   static Ms over(const Words& w) {
     static const std::map<std::string, std::size_t> lasts{
-        {"crash", 4},  {"cut", 5},         {"mute", 5},      {"copies", 4},  {"reboot", 4},
-        {"outage", 4}, {"refuse", 4},      {"hang", 4},      {"noboot", 3},  {"nocapacity", 3},
-        {"freeze", 4}, {"cut-zone", 4},    {"hang-many", 5}, {"no-open", 5}, {"leader", 4},
-        {"delay", 6},  {"late-writes", 4}, {"slow-store", 4}};
+        {"crash", 4},       {"cut", 5},         {"mute", 5},       {"copies", 4},      {"reboot", 4},
+        {"outage", 4},      {"refuse", 4},      {"hang", 4},       {"noboot", 3},      {"nocapacity", 3},
+        {"freeze", 4},      {"cut-zone", 4},    {"hang-many", 5},  {"no-open", 5},     {"leader", 4},
+        {"delay", 6},       {"late-writes", 4}, {"slow-store", 4}, {"close-looks", 4}, {"lost-answers", 4},
+        {"keep-reports", 4}};
     auto it = lasts.find(w.at(2));
     Ms end = ms(w.at(1)) + (it == lasts.end() ? 0 : ms(w.at(it->second)));
     if (w.at(2) == "late-writes") end += 12'000;
@@ -420,6 +461,18 @@
       compare(static_cast<double>(x.slowestWithdraw) / 1000, w.at(2), number(w.at(3)));
     } else if (what == "store-refused") {
       compare(static_cast<double>(x.store.overLimit()), w.at(2), number(w.at(3)));
+    } else if (what == "answers-lost") {
+      compare(static_cast<double>(x.store.answersLost()), w.at(2), number(w.at(3)));
+    } else if (what == "cancelled-between") {
+      // expect cancelled-between 39.9 41 >= 8
+      auto confirmed = std::count_if(x.traces.begin(), x.traces.end(), [&](const auto& t) {
+        return t.second.cancelledAt >= ms(w.at(2)) && t.second.cancelledAt < ms(w.at(3));
+      });
+      compare(static_cast<double>(confirmed), w.at(4), number(w.at(5)));
+    } else if (what == "old-reports") {
+      compare(static_cast<double>(x.oldReports()), w.at(2), number(w.at(3)));
+    } else if (what == "outdated-commands") {
+      compare(x.checker.commandsOutdated(), w.at(2), number(w.at(3)));
     } else if (what == "cloud-rate") {
       compare(static_cast<double>(x.cloud.busiestSecond()), w.at(2), number(w.at(3)));
     } else if (what == "writes") {
--- a/tests/world/store.cpp
+++ b/tests/world/store.cpp
@@ -67,6 +67,7 @@
   if (value) {
     largestValue_ = std::max(largestValue_, value->dump().size());
     data_[key] = {*value, rev_, hold};
+    if (key == "share/leader" && leaderBegins_) leaderBegins_();
   } else if (data_.erase(key) == 0) {
     return;
   }
@@ -187,6 +188,13 @@
   return true;
 }
 
+// A transaction that is carried out at once, and whose sender never hears of it.
+bool Store::loseAnswer(const std::string& from, const HttpRequest& r) {
+  if (clock_.now() >= lostUntil_ || r.target != "/txn" || !clock_.chance(lostShare_)) return false;
+  answer(from, r, [this](HttpResponse response) { answersLost_ += response.status == 200; });
+  return true;
+}
+
 // Nothing changes in an outage.
 void Store::carryOutLate(const Json& doc) {
   if (clock_.now() < outageUntil_)
@@ -198,7 +206,7 @@
 void Store::handle(const std::string& from, HttpRequest r, Reply reply) {
   if (!requests_.take(clock_.now(), 1)) return reply(tooMany());
   if (down(from)) return reply({503, "{}", false, 0});
-  if (postpone(r)) return;
+  if (postpone(r) || loseAnswer(from, r)) return;
   if (clock_.now() >= slowUntil_) return answer(from, std::move(r), std::move(reply));
   auto wait = static_cast<Ms>(clock_.uniform(0, static_cast<double>(slowest_)));
   if (clock_.chance(0.5)) {
--- a/tests/world/store.h
+++ b/tests/world/store.h
@@ -15,6 +15,12 @@
   void refuse(const std::string& who, Ms until) { refused_[who] = until; }
   // Until then that share of the transactions gets no answer and is carried out 2 to 12 s later.
   void lateWrites(double share, Ms until) { lateShare_ = share, lateUntil_ = until; }
+  // Until then that share of the transactions is carried out at once and its answer is lost.
+  void loseAnswers(double share, Ms until) { lostShare_ = share, lostUntil_ = until; }
+  // How many of them were carried out.
+  std::size_t answersLost() const { return answersLost_; }
+  // Called whenever a controller has begun to lead.
+  void whenLeaderBegins(std::function<void()> f) { leaderBegins_ = std::move(f); }
   // Until then answers take up to so long; what was asked is carried out before or after the wait.
   void slow(Ms atMost, Ms until) { slowest_ = atMost, slowUntil_ = until; }
   std::uint64_t writes() const { return writes_; }
@@ -50,6 +56,7 @@
   HttpResponse txn(const std::string& body);
   HttpResponse carryOut(const nlohmann::json& doc);
   bool postpone(const HttpRequest& r);
+  bool loseAnswer(const std::string& from, const HttpRequest& r);
   void carryOutLate(const nlohmann::json& doc);
   HttpResponse tooMany();
   HttpResponse holds(const HttpRequest& r);
@@ -72,7 +79,10 @@
   Allowance requests_, changes_;
   std::size_t overLimit_ = 0;
   Ms outageUntil_ = -1, lateUntil_ = -1, slowUntil_ = -1, slowest_ = 0;
-  double lateShare_ = 0;
+  double lateShare_ = 0, lostShare_ = 0;
+  Ms lostUntil_ = -1;
+  std::size_t answersLost_ = 0;
+  std::function<void()> leaderBegins_;
   std::map<std::string, Ms> refused_;
   std::vector<std::shared_ptr<Watch>> watches_;
 };
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -118,10 +118,13 @@
   if (r.target == "/show") return reply({200, body().dump(), false, 0});
   auto doc = Json::parse(r.body);
   if (!doc.contains("epoch") || !doc.contains("tenure")) return reply({400, "{}", false, 0});
-  if (doc["epoch"].get<std::uint64_t>() < token_ || doc["tenure"].get<std::uint64_t>() != tenure_)
+  auto token = doc["epoch"].get<std::uint64_t>();
+  if (cherryloft::epochOf({token}) < cherryloft::epochOf({token_}) && !doc["orders"].empty())
+    checker_.commandOutdated();
+  if (token < token_ || doc["tenure"].get<std::uint64_t>() != tenure_)
     return reply({409, body().dump(), false, 0});
-  bool higher = doc["epoch"].get<std::uint64_t>() > token_;
-  token_ = doc["epoch"].get<std::uint64_t>();
+  bool higher = token > token_;
+  token_ = token;
   execute(doc["orders"], givenAt);
   reply({200, body().dump(), false, 0});
   if (higher) changed();
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -240,8 +240,8 @@
   return j.dump();
 }
 
-void World::request(HttpRequest r, Ms deadline, HttpDone done) {
-  auto n = static_cast<unsigned>(clock.rng() % controllers.size());
+void World::request(HttpRequest r, Ms deadline, HttpDone done, Node node) {
+  auto n = node ? *node : static_cast<unsigned>(clock.rng() % controllers.size());
   net.call("user", nodeName(n), std::move(r), deadline,
            [this, n, asked = clock.now(), done = std::move(done)](HttpResult h) {
              said_ = {asked, net.sentAt(), n};
@@ -268,6 +268,7 @@
       if (t.acceptedAt < 0) {
         t.acceptedAt = clock.now();
         clock.after(1000, [this, id] { poll(id); });
+        heardAccepted(id);
       }
       return;
     }
@@ -280,20 +281,24 @@
   });
 }
 
-void World::poll(const std::string& id, bool again) {
-  request({"GET", "/v1/jobs/" + id, "", false}, 2000, [this, id, again](HttpResult h) {
+void World::poll(const std::string& id, bool again, Node node) {
+  auto heard = [this, id, again](HttpResult h) {
     auto& t = traces[id];
     if ((h.answered(200) || h.answered(404)) && !t.plantedSilence) checker.answered(id);
     if (h.answered(200)) {
       auto status = Json::parse(h.response.body)["status"].get<std::string>();
       checker.told(id, status, said_);
       t.status = status;
-      if ((status == "done" || status == "aborted") && t.finalAt < 0) t.finalAt = clock.now();
+      if ((status == "done" || status == "aborted") && t.finalAt < 0) {
+        t.finalAt = clock.now();
+        lookClosely(id);
+      }
     } else if (h.answered(404)) {
       checker.asked404(id);
     }
     if (again) clock.after(t.finalAt >= 0 ? 7000 : 2000, [this, id] { poll(id); });
-  });
+  };
+  request({"GET", "/v1/jobs/" + id, "", false}, 2000, heard, node);
 }
 
 void World::withdraw(const std::string& id) {
@@ -310,7 +315,7 @@
               checker.told(id, status, said_);
               traces[id].cancelledAt = clock.now();
               traces[id].status = status;
-              return;
+              return lookClosely(id);
             }
             if (h.answered(404)) return checker.asked404(id);
             clock.after(1000, [this, id] { tryWithdraw(id); });
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -60,6 +60,8 @@
  public:
   explicit World(const Deployment& d);
   void run(Ms until) { clock.run(until); }
+  // The controller that a request goes to; without one the load balancer chooses.
+  using Node = std::optional<unsigned>;
 
   struct JobTrace {
     std::string id;
@@ -81,12 +83,20 @@
   // or notjson; of a field, `field` or any one.
   void submitWrong(const std::string& id, const std::string& kind, std::string field);
   // The whole submission of a known job once more.
-  void resubmit(const std::string& id);
-  void poll(const std::string& id, bool again = true);
+  void resubmit(const std::string& id, Node node = {});
+  void poll(const std::string& id, bool again = true, Node node = {});
   // What the user does at the very end of the job's last task, up to so long after it.
   void atEnd(const std::string& id, const std::string& what, Ms within) {
     atEnd_[id].push_back({what, within});
   }
+  // Until then users look closely (close_looks.cpp): right after they heard that a job is accepted, done or
+  // cancelled, and right after its last task ended, they ask at all controllers again and again and repeat
+  // the submission. That share of the accepted jobs is cancelled at once.
+  void closeLooks(double cancelled, Ms until) { closeLooks_ = {cancelled, until}; }
+  // Until then reports of the machines that match are kept (old_reports.cpp). Whenever a controller begins to
+  // lead, one old report of each machine reaches every controller.
+  void keepReports(const std::string& hosts, Ms until);
+  std::size_t oldReports() const { return oldReports_; }
   // A job that the checker takes for accepted though no controller has heard of it.
   void plantUnsent(const TaskNature& nature);
   void askUp(unsigned n);
@@ -109,17 +119,32 @@
   std::map<unsigned, int> upStatus;                    // the last answer of each controller to a health check
 
  private:
-  void request(HttpRequest r, Ms deadline, HttpDone done);
+  void request(HttpRequest r, Ms deadline, HttpDone done, Node node = {});
   void trySubmit(const std::string& id, std::string body);
   void ended(const std::string& id);
   void tryWithdraw(const std::string& id);
   void review();
+  void lookClosely(const std::string& id);
+  void lookOnce(const std::string& id, unsigned node, bool resubmits);
+  void heardAccepted(const std::string& id);
+  void deliverOldReports();
 
   struct AtEnd {
     std::string what;
     Ms within;
   };
+  struct CloseLooks {
+    double cancelled = 0;  // the share of the accepted jobs
+    Ms until = -1;
+  };
+  struct KeptReport {
+    Ms sentAt = 0;
+    HttpRequest request;
+  };
   std::map<std::string, std::vector<AtEnd>> atEnd_;
+  CloseLooks closeLooks_;
+  std::map<std::string, std::vector<KeptReport>> keptReports_;  // by machine, in order
+  std::size_t oldReports_ = 0;
   unsigned leader_ = 0;
   Said said_;  // of the answer that is being heard
 };
