--- a/src/actors/failures.cpp
+++ b/src/actors/failures.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kJobsToBlameMachine = 2;   // that it failed and that work elsewhere
 constexpr std::size_t kWorkingMachinesKept = 2;  // so that one of them is another than any given one
 constexpr int kLongerThanFailed = 2;             // times as long as the failed task, to count as working
+constexpr Duration kSettlesWithin{15'000};       // mostly; by then the job has run on elsewhere, or failed
 constexpr Duration kBlameKept{600'000};          // after that, a machine that completed nothing starts afresh
 
 }  // namespace
@@ -33,6 +34,7 @@
   record.worksOn.erase(host);
   record.longestRun = std::max(record.longestRun, ranFor);
   if (another || record.failedOn.size() >= machines) ++record.failuresInARow;
+  lastFailure_[host] = now;
   settle(task.job, record, now);
   if (record.failuresInARow < kFailuresToBackOff) return std::nullopt;
   auto doublings = std::min(record.failuresInARow - kFailuresToBackOff, kMostDoublings);
@@ -41,6 +43,7 @@
 
 void FailureHistory::completed(const JobId& job, const HostId& host, Time now) {
   blame_.erase(host);
+  lastFailure_.erase(host);
   works(job, host, now);
 }
 
@@ -105,8 +108,14 @@
 
 void FailureHistory::forget(const JobId& job) { jobs_.erase(job); }
 
+bool FailureHistory::unsettled(const HostId& host, Time now) const {
+  auto failed = lastFailure_.find(host);
+  return failed != lastFailure_.end() && now - failed->second <= kSettlesWithin;
+}
+
 void FailureHistory::forget(const HostId& host) {
   blame_.erase(host);
+  lastFailure_.erase(host);
   for (auto& [_, record] : jobs_) {
     record.failedOn.erase(host);
     record.worksOn.erase(host);
--- a/src/actors/failures.h
+++ b/src/actors/failures.h
@@ -40,6 +40,10 @@
   // Machines that failed this job and, of late, enough jobs that work elsewhere.
   std::vector<HostId> faulty(const JobId& job, Time now) const;
 
+  // The machine has just failed a task and completed none since: whose fault that was may be known soon, and
+  // by its present owner only.
+  bool unsettled(const HostId& host, Time now) const;
+
   void forget(const JobId& job);
   void forget(const HostId& host);
 
@@ -61,6 +65,7 @@
   // Jobs whose failures count against a machine, and since when. They outlast the jobs: small ones are soon
   // over.
   std::map<HostId, std::map<JobId, Time>> blame_;
+  std::map<HostId, Time> lastFailure_;  // of machines that completed nothing since
 };
 
 }  // namespace cherryloft
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -94,7 +94,11 @@
 
 Counts Node::counts() const {
   Counts sum;
-  for (const auto& [_, s] : schedulers_) sum.starts += s->counts().starts, sum.looked += s->counts().looked;
+  for (const auto& [_, s] : schedulers_) {
+    sum.starts += s->counts().starts;
+    sum.looked += s->counts().looked;
+    sum.givenUp += s->counts().givenUp;
+  }
   return sum;
 }
 
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -249,6 +249,7 @@
     h->leaving = true;
     h->giveTo = -1;
     books_.reindex(*h);
+    ++spans_.counts.givenUp;
   }
 }
 
--- a/src/actors/scheduler_moves.cpp
+++ b/src/actors/scheduler_moves.cpp
@@ -28,6 +28,9 @@
       return;
     default:
       if (!h->placements.empty()) return;
+      // A faulty machine is idle all the time, and must not go from share to share before it is known for
+      // one.
+      if (w.kind == mesh::HostWish::Move && failures_.unsettled(h->id, io_.now())) return;
       h->leaving = true;
       h->giveTo = w.kind == mesh::HostWish::Move ? static_cast<std::int32_t>(w.toShare) : -1;
       books_.reindex(*h);
--- a/tests/unit/failures_test.cpp
+++ b/tests/unit/failures_test.cpp
@@ -112,6 +112,17 @@
   EXPECT_FALSE(fail("a", 0));
 }
 
+// Guards against a faulty machine, which is idle most of the time, being moved to a share that does not know
+// it.
+TEST_F(Failures, AMachineThatHasJustFailedIsUnsettled) {
+  EXPECT_FALSE(history_.unsettled(host(1), now_));
+  fail("a", 1);
+  EXPECT_TRUE(history_.unsettled(host(1), now_));
+  EXPECT_FALSE(history_.unsettled(host(1), now_ + Duration{16'000}));
+  complete("b", 1);
+  EXPECT_FALSE(history_.unsettled(host(1), now_));
+}
+
 TEST_F(Failures, AJobKeepsOffAMachineThatFailedItForAWhile) {
   fail("a", 1);
   EXPECT_TRUE(history_.avoids(JobId{"a"}, host(1), kMachines, now_));
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -30,6 +30,8 @@
   void notice(Ms takenAt) { takenAt_ = takenAt; }
   // Runs a task on nobody's order, to prove that the checker sees it.
   void plant(const std::string& job, std::uint32_t index);
+  // From now on every task fails here soon after it began.
+  void breakDown() { faulty_ = true; }
   // From now on it obeys no kill and no lease, to prove the same.
   void plantStubborn() { stubborn_ = true; }
   const Machine& machine() const { return machine_; }
@@ -80,7 +82,7 @@
   Ms leaseFrom_, lastReport_ = -10'000, hungUntil_ = 0;
   std::optional<Ms> takenAt_;
   unsigned target_ = 0;
-  bool reporting_ = false, stubborn_ = false;
+  bool reporting_ = false, stubborn_ = false, faulty_ = false;
   std::uint64_t timer_ = 0;
   std::map<Key, Held> tasks_;
   std::set<std::string> images_;
--- a/tests/world/scenario_expectations.cpp
+++ b/tests/world/scenario_expectations.cpp
@@ -99,6 +99,15 @@
   check.compare(check.world.checker.startsOf(check.line.jobId(2)), check.line.word(3), check.line.number(4));
 }
 
+// expect cancelled-between SECONDS SECONDS <=|==|>= NUMBER: cancellations confirmed
+void checkCancelledBetween(const Check& check) {
+  Ms from = check.line.duration(2), to = check.line.duration(3);
+  auto confirmed = std::count_if(
+      check.world.traces.begin(), check.world.traces.end(),
+      [&](const auto& trace) { return trace.second.cancelledAt >= from && trace.second.cancelledAt < to; });
+  check.compare(static_cast<double>(confirmed), check.line.word(4), check.line.number(5));
+}
+
 double sumOfCounts(const World& world, std::size_t cherryloft::Counts::*count) {
   double sum = 0;
   for (const auto& controller : world.controllers)
@@ -126,6 +135,10 @@
       {"writes", [](const World& w) { return static_cast<double>(w.store.writes()); }},
       {"epochs", [](const World& w) { return static_cast<double>(w.store.epochs()); }},
       {"largest-value", [](const World& w) { return static_cast<double>(w.store.largestValue()); }},
+      {"answers-lost", [](const World& w) { return static_cast<double>(w.store.answersLost()); }},
+      {"old-reports", [](const World& w) { return static_cast<double>(w.oldReports()); }},
+      {"outdated-commands", [](const World& w) -> double { return w.checker.commandsOutdated(); }},
+      {"given-up", [](const World& w) { return sumOfCounts(w, &cherryloft::Counts::givenUp); }},
       {"looked-per-start",
        [](const World& w) { return perStart(w, sumOfCounts(w, &cherryloft::Counts::looked)); }},
       {"writes-per-start",
@@ -145,7 +158,8 @@
       {"refused", checkRefused},
       {"up", checkUp},
       {"on", checkMachinesOfJob},
-      {"starts", checkStartsOfJob}};
+      {"starts", checkStartsOfJob},
+      {"cancelled-between", checkCancelledBetween}};
   return table;
 }
 
--- a/tests/world/scenario_fault_actions.cpp
+++ b/tests/world/scenario_fault_actions.cpp
@@ -114,6 +114,9 @@
       {"refuse", {[](Context c) { c.world.store.refuse(c.line.word(3), c.until(4)); }, 4}},
       {"late-writes",
        {[](Context c) { c.world.store.lateWrites(c.line.number(3), c.until(4)); }, 4, 0, kLateWritesSettle}},
+      {"lost-answers", {[](Context c) { c.world.store.loseAnswers(c.line.number(3), c.until(4)); }, 4}},
+      {"keep-reports",
+       {[](Context c) { c.world.keepReports(partyNamed(c.world, c.line.word(3)), c.until(4)); }, 4}},
       {"slow-store", {[](Context c) { c.world.store.slow(c.line.duration(3), c.until(4)); }, 4, 3}},
       {"noboot", {[](Context c) { c.world.cloud.noBoot(c.until(3)); }, 3}},
       {"nocapacity", {[](Context c) { c.world.cloud.noCapacity(c.until(3)); }, 3}}};
--- a/tests/world/scenario_machine_actions.cpp
+++ b/tests/world/scenario_machine_actions.cpp
@@ -58,16 +58,18 @@
   for (const auto& machine : machinesOf(context)) context.world.cloud.worker(machine)->hang(context.until(5));
 }
 
+// faulty MACHINE: every task fails on it from then on
+void breakDown(Context context) {
+  if (auto* worker = context.world.cloud.worker(machineOf(context))) worker->breakDown();
+}
+
 }  // namespace
 
 const ActionTable& machineActions() {
-  static const ActionTable table{{"reboot", {reboot, 4}},
-                                 {"reclaim", {reclaim}},
-                                 {"die", {die}},
-                                 {"die-many", {dieMany}},
-                                 {"die-scattered", {dieScattered}},
-                                 {"hang", {hang, 4}},
-                                 {"hang-many", {hangMany, 5}}};
+  static const ActionTable table{{"reboot", {reboot, 4}}, {"reclaim", {reclaim}},
+                                 {"faulty", {breakDown}}, {"die", {die}},
+                                 {"die-many", {dieMany}}, {"die-scattered", {dieScattered}},
+                                 {"hang", {hang, 4}},     {"hang-many", {hangMany, 5}}};
   return table;
 }
 
--- a/tests/world/scenario_user_actions.cpp
+++ b/tests/world/scenario_user_actions.cpp
@@ -42,6 +42,37 @@
     context.world.atEnd(jobIdOf(first + i), context.line.word(5), context.line.duration(6));
 }
 
+// stream FIRST COUNT PER_SECOND options... cancel=SHARE: one after the other, and that share is called off
+// while it waits or runs
+void submitOneAfterTheOther(Context context) {
+  constexpr double kEarliestCancelMs = 50;
+  constexpr double kLatestCancelMs = 1000;  // after the run time
+  auto& world = context.world;
+  const auto& line = context.line;
+  auto options = line.optionsFrom(6);
+  double cancelled = options.number("cancel", 0);
+  for (unsigned i = 0; i < line.number(4); ++i) {
+    auto nature = parseJob(jobIdOf(line.count(3) + i), options);
+    auto at = static_cast<Ms>(1000 * i / line.number(5));
+    world.clock.after(at, [&world, nature] { world.submit(nature.spec.id.value, nature); });
+    if (!world.clock.chance(cancelled)) continue;
+    auto latest = static_cast<double>(nature.run) + kLatestCancelMs;
+    auto later = static_cast<Ms>(world.clock.uniform(kEarliestCancelMs, latest));
+    world.clock.after(at + later, [&world, id = nature.spec.id.value] { world.withdraw(id); });
+  }
+}
+
+// withdraw-many FIRST COUNT EACH WITHIN: every EACH-th, at a moment of its own
+void withdrawMany(Context context) {
+  auto& world = context.world;
+  const auto& line = context.line;
+  auto within = static_cast<double>(line.duration(6));
+  for (unsigned i = 0; i < line.number(4); i += line.count(5)) {
+    auto at = static_cast<Ms>(world.clock.uniform(0, within));
+    world.clock.after(at, [&world, id = jobIdOf(line.count(3) + i)] { world.withdraw(id); });
+  }
+}
+
 }  // namespace
 
 const ActionTable& userActions() {
@@ -55,7 +86,10 @@
       {"ask", {[](Context c) { c.world.askUnknown(c.line.jobId(3)); }}},
       {"ask-many", {askMany}},
       {"ask-up", {[](Context c) { c.world.askUp(c.line.count(3)); }}},
-      {"at-end", {actAtEnd}}};
+      {"at-end", {actAtEnd}},
+      {"stream", {submitOneAfterTheOther}},
+      {"withdraw-many", {withdrawMany}},
+      {"close-looks", {[](Context c) { c.world.closeLooks(c.line.number(3), c.until(4)); }, 4}}};
   return table;
 }
 
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -2,6 +2,8 @@
 
 namespace world {
 namespace {
+constexpr Ms kFailsAfter = 500;
+
 std::string nameOf(const std::pair<std::string, std::uint32_t>& k) {
   return k.first + "/" + std::to_string(k.second);
 }
@@ -118,10 +120,13 @@
   if (r.target == "/show") return reply({200, body().dump(), false, 0});
   auto doc = Json::parse(r.body);
   if (!doc.contains("epoch") || !doc.contains("tenure")) return reply({400, "{}", false, 0});
-  if (doc["epoch"].get<std::uint64_t>() < token_ || doc["tenure"].get<std::uint64_t>() != tenure_)
+  auto token = doc["epoch"].get<std::uint64_t>();
+  if (cherryloft::epochOf({token}) < cherryloft::epochOf({token_}) && !doc["orders"].empty())
+    checker_.commandOutdated();
+  if (token < token_ || doc["tenure"].get<std::uint64_t>() != tenure_)
     return reply({409, body().dump(), false, 0});
-  bool higher = doc["epoch"].get<std::uint64_t>() > token_;
-  token_ = doc["epoch"].get<std::uint64_t>();
+  bool higher = token > token_;
+  token_ = token;
   execute(doc["orders"], givenAt);
   reply({200, body().dump(), false, 0});
   if (higher) changed();
@@ -178,9 +183,10 @@
   it->second.onMachine = true;
   checker_.started(machine_, k.first, k.second, it->second.givenAt);
   changed();
-  if (nature.spec.shape == cherryloft::Shape::Service) return;
-  Ms lasts = nature.fails ? 500 : nature.run;
-  later(lasts, [this, k, run, fails = nature.fails] {
+  bool fails = nature.fails || faulty_;
+  if (nature.spec.shape == cherryloft::Shape::Service && !fails) return;
+  Ms lasts = fails ? kFailsAfter : nature.run;
+  later(lasts, [this, k, run, fails] {
     awake([this, k, run, fails] {
       auto held = tasks_.find(k);
       if (held != tasks_.end() && held->second.run == run && held->second.state == "running")
