Proposed fix: an end that the owner tells is taken in by whoever relays it

The owner may see the end of its own commit in its mirror, and tell it, before the answer to that commit and so before the word to its siblings. An Answer now bears the stamp of the end, so that what is known of it is what the owner knows.

--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -86,9 +86,13 @@
 
 // --- questions ---
 
-// The owner's answer may have been given before an end that we have told, or heard of, since.
-HttpResponse Api::relayed(const JobId& id, const mesh::Answer& a) const {
+// The owner's answer may have been given before an end that we have told, or heard of, since. An end that it
+// tells is taken in before the user hears it: the owner may have seen it in its mirror, before the answer to
+// its own commit, and so before it told its siblings.
+HttpResponse Api::relayed(const JobId& id, const mesh::Answer& a) {
   if (const KnownJob* job = known(id); job && job->status != JobStatus::Open) return ended(id, *job);
+  auto end = a.ended > 0 ? wire::parseEnd(a.body) : std::nullopt;
+  if (end) out_.ended(id, *end, Stamp{a.ended});
   return {a.status, a.body, false, a.status == 503 ? 1 : 0};
 }
 
@@ -171,8 +175,10 @@
 
 void Api::asked(const mesh::JobAsk& ask, std::function<void(mesh::Answer)> done) {
   JobId id{ask.job};
-  auto reply = [id = ask.id, done = std::move(done)](HttpResponse r) {
-    done({id, r.status, std::move(r.body)});
+  auto reply = [this, id, ask = ask.id, done = std::move(done)](HttpResponse r) {
+    const KnownJob* job = known(id);
+    auto ended = job && job->status != JobStatus::Open ? job->stamp.value : 0;
+    done({ask, r.status, std::move(r.body), ended});
   };
   const KnownJob* job = known(id);
   if (job && job->status != JobStatus::Open) return reply(ended(id, *job));
--- a/src/actors/api.h
+++ b/src/actors/api.h
@@ -11,9 +11,10 @@
 class Api {
  public:
   struct Outlet {
-    std::function<Scheduler*(ShareNo)> scheduler;        // ours for that share, or null
-    std::function<bool()> hasStore;                      // our hold is valid
-    std::function<void(const wire::KeyChange&)> learnt;  // a record read or written here
+    std::function<Scheduler*(ShareNo)> scheduler;               // ours for that share, or null
+    std::function<bool()> hasStore;                             // our hold is valid
+    std::function<void(const wire::KeyChange&)> learnt;         // a record read or written here
+    std::function<void(const JobId&, JobStatus, Stamp)> ended;  // the owner's word that a job is over
   };
   Api(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir, Peers& peers,
       Outlet out);
@@ -30,7 +31,7 @@
   void refuse(const JobId& id, int status, const std::string& why, Responder done);
   void strongRead(const JobId& id, Responder done);
   HttpResponse ended(const JobId& id, const KnownJob& job) const;
-  HttpResponse relayed(const JobId& id, const mesh::Answer& a) const;
+  HttpResponse relayed(const JobId& id, const mesh::Answer& a);
   void withdrawKnown(const JobId& id, ShareNo share, Responder done);
 
   const Settings& settings_;
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -33,7 +33,8 @@
              {[this](const mesh::HostWish& w) { wish(w); }, [this] { return owns(); }}),
       api_(settings, io, log, store_, dir_, peers_,
            {[this](ShareNo k) { return scheduler(k); }, [this] { return owns(); },
-            [this](const wire::KeyChange& c) { changed(c); }}) {}
+            [this](const wire::KeyChange& c) { changed(c); },
+            [this](const JobId& id, JobStatus s, Stamp stamp) { dir_.ended(id, s, stamp); }}) {}
 
 void Node::start() {
   for (const auto& prefix : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
@@ -186,12 +187,12 @@
     auto report = wire::parseReport(relayed->body);
     auto host = report ? dir_.hosts.find(report->host) : dir_.hosts.end();
     Scheduler* s = host == dir_.hosts.end() ? nullptr : scheduler(host->second.record.share);
-    if (!s) return answer({relayed->id, 503, ""});
+    if (!s) return answer({relayed->id, 503, "", 0});
     auto a = s->checkIn(*report);
-    answer({relayed->id, a.status, std::move(a.body)});
+    answer({relayed->id, a.status, std::move(a.body), 0});
   } else if (const auto* probe = std::get_if<mesh::ProbeAsk>(&p)) {
     showOf(probe->address, [id = probe->id, answer](const HttpResult& r) {
-      answer({id, r.response.status, r.response.body});
+      answer({id, r.response.status, r.response.body, 0});
     });
   } else if (const auto* seen = std::get_if<mesh::HostSeen>(&p)) {
     if (auto report = wire::parseReport(seen->body)) fleet_.hostSeen(*report);
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -76,9 +76,10 @@
   std::uint64_t id = 0;
   std::int32_t status = 0;
   std::string body;
+  std::uint64_t ended = 0;  // of a job that is over: the stamp of its end
   template <class A>
   void serialize(A& a) {
-    a(id, status, body);
+    a(id, status, body, ended);
   }
 };
 
--- a/src/wire/users.cpp
+++ b/src/wire/users.cpp
@@ -115,6 +115,14 @@
   return dump(Json{{"name_id", id.value}, {"status", status}, {"done", v.done}, {"running", v.running}});
 }
 
+std::optional<JobStatus> parseEnd(const std::string& body) {
+  auto doc = Json::parse(body, nullptr, false);
+  auto status = doc.is_object() ? doc.value("status", std::string()) : "";
+  if (status == "done") return JobStatus::Done;
+  if (status == "aborted") return JobStatus::Aborted;
+  return std::nullopt;
+}
+
 HttpResponse userError(int status, const std::string& why, int retryAfterS) {
   return {status, dump(Json{{"error", why}}), false, retryAfterS};
 }
--- a/src/wire/users.h
+++ b/src/wire/users.h
@@ -24,6 +24,8 @@
 };
 // The body that both submissions and polls answer with.
 std::string encodeJob(const JobId& id, const JobView& view);
+// Whether such a body tells that the job is over, and how it ended.
+std::optional<JobStatus> parseEnd(const std::string& body);
 
 HttpResponse userError(int status, const std::string& why, int retryAfterS = 0);
 HttpResponse userUnavailable(const std::string& why);
