Test: users who look closely right after each word about a job

A stream's cancellations now come once the user has heard of the acceptance: a 404 to a cancellation that was sent before that was the scenario's fault.

--- a/tests/world/close_looks.cpp
+++ b/tests/world/close_looks.cpp
@@ -3,6 +3,7 @@
 
 namespace world {
 namespace {
+constexpr Ms kLookAgain = 20;           // whether a job that is to be cancelled is accepted by now
 constexpr unsigned kRounds = 5;         // questions to each controller
 constexpr double kWithinMs = 60;        // of what the user heard
 constexpr double kResubmits = 0.2;      // the share of the looks that repeat the submission instead
@@ -26,6 +27,11 @@
     poll(id, false, node);
 }
 
+void World::withdrawAccepted(const std::string& id) {
+  if (traces[id].acceptedAt >= 0) return withdraw(id);
+  clock.after(kLookAgain, [this, id] { withdrawAccepted(id); });
+}
+
 void World::heardAccepted(const std::string& id) {
   if (clock.now() >= closeLooks_.until) return;
   lookClosely(id);
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -77,6 +77,8 @@
   // The body a user would send for it.
   static std::string bodyOf(const TaskNature& nature);
   void withdraw(const std::string& id);
+  // The same once its user has heard that it is accepted.
+  void withdrawAccepted(const std::string& id);
   void askUnknown(const std::string& id);
   void resubmitBroken(const std::string& id);
   // A submission that must be refused: `kind` is nofit, noteam, nozone, overlimit, apart, nofield, badfield
