--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -86,9 +86,12 @@
 
 // --- questions ---
 
-// The owner's answer may have been given before an end that we have told, or heard of, since.
-HttpResponse Api::relayed(const JobId& id, const mesh::Answer& a) const {
+// The owner's answer may have been given before an end that we have told, or heard of, since. An end that it
+// tells is taken in before the user hears it: the owner may have seen it in its mirror, before the answer to
+// its own commit, and so before it told its siblings.
+HttpResponse Api::relayed(const JobId& id, const mesh::Answer& a) {
   if (const KnownJob* job = known(id); job && job->status != JobStatus::Open) return ended(id, *job);
+  if (auto end = a.status == 200 ? wire::parseEnd(a.body) : std::nullopt) out_.ended(id, *end);
   return {a.status, a.body, false, a.status == 503 ? 1 : 0};
 }
 
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -109,6 +109,10 @@
   if (status == JobStatus::Done) it->second.spec.reset();
 }
 
+void Directory::ended(const JobId& id, JobStatus status) {
+  if (auto it = jobs.find(id); it != jobs.end()) ended(id, status, it->second.stamp);
+}
+
 std::vector<HostId> Directory::apply(const wire::KeyChange& c, const Log& log) {
   if (under(c.key, keys::kJobs)) {
     JobId id{c.key.substr(keys::kJobs.size())};
@@ -118,7 +122,12 @@
       return {};
     }
     auto& j = jobs[id];
-    if (j.stamp > c.stamp || j.status != JobStatus::Open) return {};  // terminal is final
+    if (j.stamp > c.stamp) return {};
+    if (j.status !=
+        JobStatus::Open) {  // terminal is final; the end may have been heard of before its record came
+      j.stamp = c.stamp;
+      return {};
+    }
     j.status = r->status;
     j.share = r->share;
     j.tasks = r->tasks;
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -33,7 +33,8 @@
              {[this](const mesh::HostWish& w) { wish(w); }, [this] { return owns(); }}),
       api_(settings, io, log, store_, dir_, peers_,
            {[this](ShareNo k) { return scheduler(k); }, [this] { return owns(); },
-            [this](const wire::KeyChange& c) { changed(c); }}) {}
+            [this](const wire::KeyChange& c) { changed(c); },
+            [this](const JobId& id, JobStatus s) { dir_.ended(id, s); }}) {}
 
 void Node::start() {
   for (const auto& prefix : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
