--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -126,6 +126,7 @@
     if (j.status !=
         JobStatus::Open) {  // terminal is final; the end may have been heard of before its record came
       j.stamp = c.stamp;
+      j.atOnce = r->atOnce;
       return {};
     }
     j.status = r->status;
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -168,7 +168,11 @@
 void Scheduler::jobChanged(const JobId& id) {
   if (!loaded_) return;
   auto known = dir_.jobs.find(id);
-  if (known == dir_.jobs.end() || known->second.share != taken_.share || books_.job(id)) return;
+  if (known == dir_.jobs.end() || known->second.share != taken_.share) return;
+  // Our own commit may show here before its answer comes, and deputies must have seen it as well (invariant
+  // 15).
+  if (known->second.status == JobStatus::Aborted) lastAborted_ = std::max(lastAborted_, known->second.stamp);
+  if (books_.job(id)) return;
   const auto& k = known->second;
   if (k.status != JobStatus::Open || !k.spec) return;
   auto& job = books_.addJob(id, k);
@@ -277,7 +281,7 @@
     return !j.second.waiting.empty() && j.second.notBefore > now - 2 * kTick && j.second.notBefore <= now;
   });
   if (due) wake(true);
-  if (!fresh_.empty() || !ending_.empty()) wake(false);
+  if (!fresh_.empty() || !ending_.empty() || !left_.empty()) wake(false);
 }
 
 // Whoever stood still hears first what has been waiting, and judges nobody before. What went unanswered
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -185,6 +185,9 @@
   void releaseElsewhere(Time now);
   void addTransfers(wire::Transaction& t, std::size_t& weight);
   void transferred(const JobId& id);
+  struct Left;
+  static Left leftOf(const Job& job);
+  void addLeft(wire::Transaction& t, std::size_t& weight);
   void commit();
   void commitAt(Time due);
   void committed(const TxnResult& r);
@@ -274,6 +277,13 @@
     std::uint32_t atOnce = 0;
   };
   std::vector<Transfer> transfers_;  // to be written with the next commit
+  // A cancelled job of another share's team of which nothing is on any machine; its record is to say so.
+  struct Left {
+    JobId job;
+    Stamp stamp;
+    wire::JobRecord record;
+  };
+  std::vector<Left> left_;
   Time transfersReviewed_{};
   Time offeredAt_{};
 
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -80,6 +80,7 @@
     std::size_t weight = 0;
     addTerminal(t, weight);
     addTransfers(t, weight);
+    addLeft(t, weight);
     // A share that is to be handed back waits for nothing else: in a large one something is done at every
     // moment. The next owner learns from reports what is done, as nothing is forgotten before it is written
     // (invariant 8), and placements that were not written were not sent.
@@ -208,6 +209,7 @@
 void Scheduler::cleanUp(Job& job) {
   if (job.status == JobStatus::Open || job.placed > 0) return;
   auto id = job.id;
+  if (job.status == JobStatus::Aborted && job.atOnce) left_.push_back(leftOf(job));
   failures_.forget(id);
   books_.removeJob(id);
 }
--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t kMostAsked = 8;  // jobs that room is looked for at a time
 constexpr Duration kOfferHolds{3'000};
 constexpr Duration kBetweenOffers{1'000};  // so that one room is not offered to many
-constexpr double kAbortedCountsFor = 2.0;  // times cancel_s, by which nothing of an aborted job is left
-constexpr double kLimitSlack = 1e-6;       // cores
+constexpr Duration kBeyondCancel{2'000};  // after cancel_s nothing of an aborted job is left, whoever runs it
+constexpr double kLimitSlack = 1e-6;      // cores
 
 }  // namespace
 
@@ -171,6 +171,23 @@
   }
 }
 
+Scheduler::Left Scheduler::leftOf(const Job& job) {
+  auto tasks = static_cast<std::uint32_t>(job.tasks.size());
+  return {job.id, job.stamp, {JobStatus::Aborted, ShareNo{}, tasks, job.submitted, *job.spec, 0}};
+}
+
+// A record that does not get its turn now is left as it is: the team's own share then waits for cancel_s.
+void Scheduler::addLeft(wire::Transaction& t, std::size_t& weight) {
+  for (auto& left : std::exchange(left_, {})) {
+    left.record.share = taken_.share;
+    wire::Write w{keys::job(left.job), wire::encodeJobRecord(left.record), {}};
+    if (!fits(t, weight, w)) continue;
+    weight += wire::weightOf(w);
+    t.when[w.key] = left.stamp;
+    t.apply.push_back(std::move(w));
+  }
+}
+
 void Scheduler::transferred(const JobId& id) {
   if (auto counted = elsewhere_.find(id); counted != elsewhere_.end()) counted->second.committed = true;
   Job* job = books_.job(id);
@@ -195,7 +212,8 @@
   }
 }
 
-// Done: nothing of it is anywhere. Aborted: what is left of it ends within cancel_s.
+// Done: nothing of it is anywhere. Aborted: the other owner says when nothing is left, which is within
+// cancel_s of the commit that we see here.
 void Scheduler::releaseElsewhere(Time now) {
   for (auto it = elsewhere_.begin(); it != elsewhere_.end();) {
     auto& counted = it->second;
@@ -203,7 +221,8 @@
     bool over = counted.committed && known != dir_.jobs.end();
     if (over && known->second.status == JobStatus::Aborted) {
       if (!counted.abortedSince) counted.abortedSince = now;
-      over = now - *counted.abortedSince > seconds(kAbortedCountsFor * settings_.cancelS);
+      over = known->second.atOnce == 0u ||
+             now - *counted.abortedSince > seconds(settings_.cancelS) + kBeyondCancel;
     } else if (over) {
       over = known->second.status == JobStatus::Done || known->second.share == taken_.share;
     }
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -51,7 +51,7 @@
   WallTime submitted;
   std::optional<JobSpec> spec;  // kept unless done
   // Of a job that another share than its team's runs: so many of its tasks may be somewhere at once. The
-  // team's own share counts them as in use (invariant 17).
+  // team's own share counts them as in use (invariant 17). 0 once it is aborted and nothing of it is left.
   std::optional<std::uint32_t> atOnce{};
 };
 std::string encodeJobRecord(const JobRecord& r);
