--- /dev/null
+++ b/src/actors/request_queue.cpp
@@ -0,0 +1,74 @@
+#include "actors/request_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kLookAgain{10};
+constexpr Duration kPause{250};  // after a 429
+constexpr std::uint64_t kPauseJitterMs = 250;
+constexpr int kTooManyRequests = 429;
+
+}  // namespace
+
+void RequestQueue::push(Urgency urgency, StoreRequest request, Duration deadline, HttpDone done) {
+  auto& queue = queues_[static_cast<std::size_t>(urgency)];
+  // More questions than can have their turn in time: what can't is told at once, and never fills our memory.
+  double inTime = std::max(budget_.requestsPerSecond() * inSeconds(deadline), 1.0);
+  if (urgency == Urgency::User && static_cast<double>(queue.size()) > inTime) return drop(std::move(done));
+  queue.push_back({std::move(request), io_.now() + deadline, std::move(done)});
+  sendAffordable();
+}
+
+void RequestQueue::sendAffordable() {
+  auto now = io_.now();
+  budget_.refill(now);
+  for (std::size_t urgency = 0; urgency < queues_.size(); ++urgency) {
+    auto& queue = queues_[urgency];
+    // Renewals never wait for the budget; they are few, and all else depends on them.
+    bool exempt = urgency == static_cast<std::size_t>(Urgency::Hold);
+    while (!queue.empty()) {
+      bool late = queue.front().giveUp <= now;
+      bool affordable = !budget_.paused(now) && budget_.affords(queue.front().request.changes);
+      if (!late && !exempt && !affordable) return sendLater();
+      auto next = std::move(queue.front());
+      queue.pop_front();
+      if (late)
+        drop(std::move(next.done));
+      else
+        send(std::move(next));
+    }
+  }
+}
+
+void RequestQueue::send(Queued next) {
+  budget_.spend(next.request.changes);
+  ++tally_.requests[next.request.purpose];
+  auto deadline = std::max(next.giveUp - io_.now(), Duration{1});
+  auto answered = [this, done = std::move(next.done)](HttpResult result) {
+    if (result.answered(kTooManyRequests)) {
+      ++tally_.refused;
+      budget_.pauseUntil(io_.now() + kPause + Duration{rng_() % kPauseJitterMs});
+    }
+    done(std::move(result));
+  };
+  io_.call(settings_.state, std::move(next.request.request), deadline, std::move(answered));
+}
+
+// It was not sent: told from the loop, as its sender may not expect the word at once.
+void RequestQueue::drop(HttpDone done) {
+  ++tally_.outOfTime;
+  io_.after(Duration{0}, [done = std::move(done)] { done({HttpResult::Outcome::NotSent, {}}); });
+}
+
+void RequestQueue::sendLater() {
+  if (std::exchange(sendPending_, true)) return;
+  io_.after(kLookAgain, [this] {
+    sendPending_ = false;
+    sendAffordable();
+  });
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/request_queue.h
@@ -0,0 +1,59 @@
+// RequestQueue: sends requests to the state service within the budget, the urgent ones first.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+#include "actors/io.h"
+#include "actors/request_budget.h"
+
+namespace cherryloft {
+
+// In falling order.
+enum class Urgency : std::uint8_t { Hold, Control, Work, User, Count };
+
+// What was asked of the service, by purpose.
+struct StoreTally {
+  std::map<std::string, std::uint64_t> requests, changes;
+  std::uint64_t refused = 0;  // 429
+  std::uint64_t outOfTime = 0;
+};
+
+struct StoreRequest {
+  const char* purpose = "";
+  HttpRequest request;
+  unsigned changes = 0;
+};
+
+class RequestQueue {
+ public:
+  RequestQueue(const Settings& settings, Io& io, RequestBudget& budget, StoreTally& tally,
+               std::mt19937_64& rng)
+      : settings_(settings), io_(io), budget_(budget), tally_(tally), rng_(rng) {}
+  // Always ends in one call of done, at the latest when the deadline is over.
+  void push(Urgency urgency, StoreRequest request, Duration deadline, HttpDone done);
+
+ private:
+  struct Queued {
+    StoreRequest request;
+    Time giveUp;
+    HttpDone done;
+  };
+  void sendAffordable();
+  void send(Queued next);
+  void drop(HttpDone done);
+  void sendLater();
+
+  const Settings& settings_;
+  Io& io_;
+  RequestBudget& budget_;
+  StoreTally& tally_;
+  std::mt19937_64& rng_;
+  std::array<std::deque<Queued>, static_cast<std::size_t>(Urgency::Count)> queues_;
+  bool sendPending_ = false;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/store_client.cpp
@@ -0,0 +1,137 @@
+#include "actors/store_client.h"
+
+#include <iterator>
+#include <utility>
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kListDeadline{3'000};
+constexpr Duration kOpenHoldDeadline{1'000};
+
+std::string prefixOf(const std::string& key) { return key.substr(0, key.find('/') + 1); }
+
+TxnResult txnAnswered(const HttpResponse& response) {
+  TxnResult out;
+  switch (response.status) {
+    case 200:
+      if (auto revision = wire::parseRevision(response.body)) {
+        out.outcome = TxnResult::Outcome::Ok;
+        out.revision = *revision;
+      }
+      break;
+    case 409:
+      out.outcome = TxnResult::Outcome::Conflict;
+      out.failed = wire::parseFailed(response.body);
+      break;
+    case 400:
+      out.outcome = TxnResult::Outcome::NoHold;
+      break;
+    case 429:
+    case 503:
+      out.outcome = TxnResult::Outcome::Refused;
+      break;
+    default:
+      break;
+  }
+  return out;
+}
+
+TxnResult txnResultOf(const HttpResult& result) {
+  TxnResult out;
+  if (result.outcome == HttpResult::Outcome::NotSent)
+    out.outcome = TxnResult::Outcome::Refused;
+  else if (result.outcome == HttpResult::Outcome::Answered)
+    out = txnAnswered(result.response);
+  return out;
+}
+
+GetResult getResultOf(const HttpResult& result) {
+  GetResult out;
+  if (result.answered(404)) out.outcome = GetResult::Outcome::Absent;
+  auto entry = result.answered(200) ? wire::parseKey(result.response.body) : std::nullopt;
+  if (entry) {
+    out.outcome = GetResult::Outcome::Found;
+    out.entry = std::move(*entry);
+  }
+  return out;
+}
+
+FollowResult followResultOf(const HttpResult& result) {
+  FollowResult out;
+  if (result.answered(410)) out.outcome = FollowResult::Outcome::TooOld;
+  auto news = result.answered(200) ? wire::parseNews(result.response.body) : std::nullopt;
+  if (news) {
+    out.outcome = FollowResult::Outcome::News;
+    out.news = std::move(*news);
+  }
+  return out;
+}
+
+HoldRenewal renewalOf(const HttpResult& result) {
+  if (result.answered(200)) return HoldRenewal::Good;
+  return result.answered(404) ? HoldRenewal::Gone : HoldRenewal::NoAnswer;
+}
+
+}  // namespace
+
+void StoreClient::txn(Urgency urgency, const wire::Transaction& transaction, Duration deadline,
+                      std::function<void(TxnResult)> done) {
+  for (const auto& write : transaction.apply) ++tally_.changes[prefixOf(write.key)];
+  HttpRequest request{"POST", "/txn", wire::encodeTransaction(transaction), false};
+  auto changes = static_cast<unsigned>(transaction.apply.size());
+  queue_.push(urgency, {"txn", std::move(request), changes}, deadline,
+              [done = std::move(done)](const HttpResult& result) { done(txnResultOf(result)); });
+}
+
+void StoreClient::get(Urgency urgency, const std::string& key, Duration deadline,
+                      std::function<void(GetResult)> done) {
+  queue_.push(urgency, {"get", {"GET", "/keys/" + key, "", false}, 0}, deadline,
+              [done = std::move(done)](const HttpResult& result) { done(getResultOf(result)); });
+}
+
+void StoreClient::list(Urgency urgency, const std::string& prefix, std::function<void(ListResult)> done) {
+  listFrom(urgency, prefix, "", std::make_shared<ListResult>(), std::move(done));
+}
+
+void StoreClient::listFrom(Urgency urgency, const std::string& prefix, const std::string& since,
+                           std::shared_ptr<ListResult> pages, std::function<void(ListResult)> done) {
+  std::string path = "/keys?prefix=" + prefix + "&limit=1000";
+  if (!since.empty()) path += "&since=" + since;
+  auto listed = [this, urgency, prefix, pages, done = std::move(done)](const HttpResult& result) mutable {
+    auto page = result.answered(200) ? wire::parseEntries(result.response.body) : std::nullopt;
+    if (!page) return done({});
+    if (pages->entries.empty()) pages->revision = page->revision;
+    bool more = page->truncated && !page->entries.empty();
+    std::string last = more ? page->entries.back().key : "";
+    std::move(page->entries.begin(), page->entries.end(), std::back_inserter(pages->entries));
+    if (more) return listFrom(urgency, prefix, last, pages, std::move(done));
+    pages->ok = true;
+    done(std::move(*pages));
+  };
+  queue_.push(urgency, {"list", {"GET", path, "", false}, 0}, kListDeadline, std::move(listed));
+}
+
+void StoreClient::follow(const std::string& prefix, Stamp since, Duration wait, Duration deadline,
+                         std::function<void(FollowResult)> done) {
+  std::string path = "/follow?prefix=" + prefix + "&since=" + std::to_string(since.value) +
+                     "&wait_ms=" + std::to_string(wait.count());
+  queue_.push(Urgency::Control, {"follow", {"GET", path, "", false}, 0}, deadline,
+              [done = std::move(done)](const HttpResult& result) { done(followResultOf(result)); });
+}
+
+void StoreClient::openHold(Duration ttl, std::function<void(std::optional<std::uint64_t>)> done) {
+  auto body = "{\"ttl_ms\":" + std::to_string(ttl.count()) + "}";
+  queue_.push(Urgency::Hold, {"hold", {"POST", "/holds", body, false}, 0}, kOpenHoldDeadline,
+              [done = std::move(done)](const HttpResult& result) {
+                done(result.answered(200) ? wire::parseHold(result.response.body) : std::nullopt);
+              });
+}
+
+void StoreClient::renewHold(std::uint64_t hold, Duration deadline, std::function<void(HoldRenewal)> done) {
+  auto path = "/holds/" + std::to_string(hold) + "/renew";
+  queue_.push(Urgency::Hold, {"hold", {"POST", path, "{}", false}, 0}, deadline,
+              [done = std::move(done)](const HttpResult& result) { done(renewalOf(result)); });
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/store_client.h
@@ -0,0 +1,74 @@
+// StoreClient: the operations of the state service, each as one request or a few.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "actors/request_queue.h"
+#include "wire/store.h"
+
+namespace cherryloft {
+
+struct TxnResult {
+  enum class Outcome : std::uint8_t {
+    Ok,
+    Conflict,  // not executed, failed names the keys
+    NoHold,    // not executed, the hold is gone
+    Refused,   // not executed
+    Unknown,   // may have been executed, or may be yet
+  };
+  Outcome outcome = Outcome::Unknown;
+  Stamp revision;
+  std::vector<std::string> failed;
+  bool ok() const { return outcome == Outcome::Ok; }
+};
+
+struct ListResult {
+  bool ok = false;
+  std::vector<wire::KeyChange> entries;
+  Stamp revision;  // of the first page
+};
+
+struct GetResult {
+  enum class Outcome : std::uint8_t { Found, Absent, Failed };
+  Outcome outcome = Outcome::Failed;
+  wire::KeyChange entry;
+};
+
+enum class HoldRenewal : std::uint8_t { Good, Gone, NoAnswer };
+
+struct FollowResult {
+  enum class Outcome : std::uint8_t {
+    News,
+    TooOld,  // the service keeps no changes that old any more
+    Failed,
+  };
+  Outcome outcome = Outcome::Failed;
+  wire::KeyPage news;
+};
+
+class StoreClient {
+ public:
+  StoreClient(RequestQueue& queue, StoreTally& tally) : queue_(queue), tally_(tally) {}
+  void txn(Urgency urgency, const wire::Transaction& transaction, Duration deadline,
+           std::function<void(TxnResult)> done);
+  void get(Urgency urgency, const std::string& key, Duration deadline, std::function<void(GetResult)> done);
+  void list(Urgency urgency, const std::string& prefix, std::function<void(ListResult)> done);
+  // The changes under the prefix after that revision; waits so long for one if there are none yet.
+  void follow(const std::string& prefix, Stamp since, Duration wait, Duration deadline,
+              std::function<void(FollowResult)> done);
+  void openHold(Duration ttl, std::function<void(std::optional<std::uint64_t>)> done);
+  void renewHold(std::uint64_t hold, Duration deadline, std::function<void(HoldRenewal)> done);
+
+ private:
+  void listFrom(Urgency urgency, const std::string& prefix, const std::string& since,
+                std::shared_ptr<ListResult> pages, std::function<void(ListResult)> done);
+
+  RequestQueue& queue_;
+  StoreTally& tally_;
+};
+
+}  // namespace cherryloft
--- /dev/null
+++ b/tests/unit/request_queue_test.cpp
@@ -0,0 +1,88 @@
+// In which order requests to the state service are sent, and how many.
+#include "actors/request_queue.h"
+
+#include <gtest/gtest.h>
+
+#include "unit/clock_io.h"
+#include "world/world.h"
+
+using namespace cherryloft;
+
+namespace {
+
+struct RecordingIo : ClockIo {
+  std::vector<std::string> sent;
+  std::vector<HttpDone> open;
+  void call(const Address&, HttpRequest request, Duration, HttpDone done) override {
+    sent.push_back(request.target);
+    open.push_back(std::move(done));
+  }
+};
+
+struct RequestQueueTest : testing::Test {
+  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
+  RecordingIo io;
+  RequestBudget budget{settings, io.now()};
+  StoreTally tally;
+  std::mt19937_64 rng{1};
+  RequestQueue queue{settings, io, budget, tally, rng};
+  std::vector<HttpResult::Outcome> outcomes;
+
+  void push(Urgency urgency, const std::string& target, Duration deadline = Duration{10'000},
+            unsigned changes = 0) {
+    queue.push(urgency, {"test", {"GET", target, "", false}, changes}, deadline,
+               [this](const HttpResult& result) { outcomes.push_back(result.outcome); });
+  }
+  void useUpRequests() {
+    while (budget.affords(0)) budget.spend(0);
+  }
+  void run(world::Ms ms) { io.clock.run(io.clock.now() + ms); }
+};
+
+}  // namespace
+
+TEST_F(RequestQueueTest, SendsTheUrgentFirst) {
+  useUpRequests();
+  push(Urgency::User, "/user");
+  push(Urgency::Work, "/work");
+  push(Urgency::Control, "/control");
+  EXPECT_TRUE(io.sent.empty());
+  run(1'000);
+  EXPECT_EQ(io.sent, (std::vector<std::string>{"/control", "/work", "/user"}));
+}
+
+TEST_F(RequestQueueTest, RenewalsOfHoldsDoNotWaitForTheBudget) {
+  useUpRequests();
+  push(Urgency::Hold, "/hold");
+  EXPECT_EQ(io.sent, (std::vector<std::string>{"/hold"}));
+}
+
+TEST_F(RequestQueueTest, WhatHadNoTurnInTimeIsNotSent) {
+  budget.pauseUntil(io.now() + Duration{1'000});
+  push(Urgency::Control, "/late", Duration{100});
+  run(2'000);
+  EXPECT_TRUE(io.sent.empty());
+  EXPECT_EQ(outcomes, (std::vector<HttpResult::Outcome>{HttpResult::Outcome::NotSent}));
+  EXPECT_EQ(tally.outOfTime, 1U);
+}
+
+TEST_F(RequestQueueTest, PausesAfterTheServiceRefused) {
+  push(Urgency::Control, "/first");
+  auto answer = io.open.at(0);
+  answer({HttpResult::Outcome::Answered, {429, "{}", false, 0}});
+  push(Urgency::Control, "/second");
+  run(200);
+  EXPECT_EQ(io.sent.size(), 1U);
+  run(1'000);
+  EXPECT_EQ(io.sent.size(), 2U);
+  EXPECT_EQ(tally.refused, 1U);
+}
+
+TEST_F(RequestQueueTest, ChangesAreSpentToo) {
+  auto most = static_cast<unsigned>(budget.changes());
+  push(Urgency::Work, "/all", Duration{10'000}, most);
+  push(Urgency::Work, "/more", Duration{10'000}, 1);
+  EXPECT_EQ(io.sent, (std::vector<std::string>{"/all"}));
+  run(1'000);
+  EXPECT_EQ(io.sent.size(), 2U);
+}
