--- a/src/actors/failures.cpp
+++ b/src/actors/failures.cpp
@@ -58,7 +58,8 @@
 
 // Decides anew whom the job's failures count against.
 void FailureHistory::settle(const JobId& job, const JobRecord& record, Time now) {
-  for (const auto& [host, _] : record.failedOn) {
+  for (const auto& failure : record.failedOn) {
+    const HostId& host = failure.first;
     bool worksElsewhere = std::any_of(record.worksOn.begin(), record.worksOn.end(),
                                       [&](const HostId& other) { return other != host; });
     if (worksElsewhere && !failsEverywhere(record))
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -173,7 +173,24 @@
   Host* holder(const Job& job, Turn& turn) const;
   std::vector<Host*> others(const Job& job, const Turn& turn);
   policy::Peek peek(const Job& job);
+  // Preemption.
+  // What machines have free now or soon, less what is spoken for in this round.
+  struct RoomToCome {
+    std::map<std::uint32_t, Resources> left;
+    Resources& of(const Host& h);
+  };
+  struct PlannedEviction {
+    Host* host = nullptr;
+    double lost = 0;  // seconds of work times cores
+    std::vector<TaskId> victims;
+  };
+  std::vector<Host*> peekForRoom(const Job& job);
+  std::optional<PlannedEviction> cheapestEviction(const Job& job, bool guaranteed,
+                                                  const std::vector<Host*>& peeked, RoomToCome& room) const;
+  void carryOut(const PlannedEviction& plan, const Job& job, RoomToCome& room);
+  bool waitsForOthers(const Ranked& blocked) const;
   void makeRoom(const std::vector<Ranked>& blocked);
+  void makeRoomFor(const Ranked& blocked, RoomToCome& room, unsigned& asked, std::set<HostId>& changed);
   // Transfers of jobs to other shares (invariant 17).
   void reviewTransfers(Time now);
   bool waitsInVain(const Job& job, Time now) const;
--- /dev/null
+++ b/src/actors/scheduler_failures.cpp
@@ -0,0 +1,90 @@
+// Tasks that ended, and what failed ones say of their machine and of their job.
+#include <algorithm>
+
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+namespace {
+using wire::ExitCause;
+using wire::TaskPhase;
+
+constexpr Duration kReviewFailuresEvery{1'000};
+}  // namespace
+
+void Scheduler::ended(Host& h, const wire::ReportedTask& t) {
+  auto now = io_.now();
+  Job& job = *h.placements.at(t.task).job;
+  if (t.cause == ExitCause::Done) {
+    books_.cached(h, job.spec->image, job.spec->imageGb);
+    books_.taskDone(h, t.task, now);
+    leaving_.push_back({now, job.spec->each.cores, job.spec->lendable});
+    failures_.completed(job.id, h.id, now);
+    giveUpFaulty(job.id);
+    if (job.status == JobStatus::Open) {
+      fresh_.push_back(t.task);
+      if (job.done == job.tasks.size()) ending_.insert(job.id);
+    }
+    cleanUp(job);
+    return;
+  }
+  const auto& placement = h.placements.at(t.task);
+  bool ran = placement.shown && placement.phase == TaskPhase::Running;
+  auto ranFor = ran ? now - placement.runningSince : Duration{};
+  books_.gone(h, t.task, now);
+  log_->debug("{} on {} ended: {}", wire::encodeTask(t.task), h.id.value, static_cast<int>(t.cause));
+  switch (t.cause) {
+    case ExitCause::Error:
+      if (auto wait = failures_.failed(t.task, h.id, ranFor, books_.hosts().size(), now))
+        job.notBefore = now + *wait;
+      giveUpFaulty(job.id);
+      break;
+    case ExitCause::NoRoom:
+    case ExitCause::Busy:
+      job.notBefore = now + Duration{500};
+      break;
+    case ExitCause::Unknown:
+      job.notBefore = now + Duration{1'000};
+      break;
+    default:
+      break;
+  }
+  gangBroken(job);
+  cleanUp(job);
+}
+
+// Machines whose failures of the job, beside its success elsewhere, show that the fault is theirs.
+void Scheduler::giveUpFaulty(const JobId& job) {
+  for (const auto& id : failures_.faulty(job, io_.now())) {
+    Host* h = books_.host(id);
+    if (!h || h->leaving) continue;
+    log_->info("{} fails jobs that work elsewhere and is given up", id.value);
+    h->leaving = true;
+    h->giveTo = -1;
+    books_.reindex(*h);
+    ++spans_.counts.givenUp;
+  }
+}
+
+// A task that has run on for longer than another of its job lasted before it failed shows that the job works.
+void Scheduler::reviewFailures(Time now) {
+  if (now - failuresReviewed_ < kReviewFailuresEvery) return;
+  failuresReviewed_ = now;
+  for (const auto& id : failures_.undecided()) {
+    const Job* job = books_.job(id);
+    if (!job) continue;
+    auto enough = failures_.contrastAfter(id);
+    for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
+      const Host* h = job->tasks[i].host;
+      if (!h) continue;
+      const auto& p = h->placements.at({id, i});
+      bool runs = p.shown && p.phase == TaskPhase::Running && now - p.runningSince >= enough;
+      if (!runs || silence(*h) > reportDue()) continue;
+      failures_.keptRunning(id, h->id, now);
+      giveUpFaulty(id);
+      wake(true);
+      break;
+    }
+  }
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/scheduler_load.cpp
@@ -0,0 +1,145 @@
+// What the scheduler tells of its share: to the leader once a second, and to operators once a minute.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+namespace {
+constexpr std::size_t kBusyNamed = 16;
+constexpr Duration kArrivalsKept{120'000};
+constexpr Duration kLeavingKept{20'000};
+constexpr Duration kZoneIsFull{
+    10'000};  // a job that waits so long for its zone is not helped by what is there
+constexpr unsigned kLooked = 64;
+}  // namespace
+
+std::string Scheduler::account() {
+  std::size_t open = 0, waiting = 0;
+  for (const auto& [_, j] : books_.jobs()) open += j.open(), waiting += j.waiting.size();
+  std::size_t booting = 0, silent = 0, doubtful = 0, emptying = 0, leaving = 0;  // why machines are not open
+  for (const auto& [_, h] : books_.hosts()) {
+    if (h.open()) continue;
+    bool goes = h.leaving || h.reclaimAt || h.known.record.phase != wire::HostPhase::InUse;
+    (goes                                         ? leaving
+     : h.emptying                                 ? emptying
+     : !h.heard && h.known.record.address.empty() ? booting
+     : !h.heard || h.stale                        ? silent
+                                                  : doubtful) += 1;
+  }
+  auto n = spans_.counts.starts - accounted_.starts, looked = spans_.counts.looked - accounted_.looked;
+  accounted_ = spans_.counts;
+  return fmt::format(
+      "share {}: {} jobs, {} tasks waiting, {} machines ({} open, {} booting, {} silent, {} in doubt, {} "
+      "emptying, {} "
+      "leaving), {} pages; {} starts in {} rounds, widest "
+      "{}, "
+      "{} machines looked at, {} stopped for others; ms to placed {}; to committed {}; to shown {}",
+      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(), booting, silent,
+      doubtful, emptying, leaving, books_.pages().count(), n, std::exchange(spans_.rounds, 0),
+      std::exchange(spans_.widest, 0), looked, std::exchange(spans_.evicted, 0), spans_.toPlaced.take(),
+      spans_.toCommitted.take(), spans_.toShown.take());
+}
+
+namespace {
+bool hasRoom(const Pool& p, const Resources& each) {
+  auto at = p.byRoom.lower_bound({each.cores - 1e-6, 0});
+  for (unsigned looked = 0; at != p.byRoom.end() && looked < kLooked; ++at, ++looked)
+    if (each.fitsIn(at->second->free())) return true;
+  return false;
+}
+}  // namespace
+
+// Zones that the job's next task may go to, if no machine in any of them could ever take it or, once it has
+// waited for a while, can take it now.
+void Scheduler::stuckZones(const Job& job, mesh::Demand& d) const {
+  std::vector<std::string> open;
+  bool full = io_.now() - std::max(job.since, job.placedLast) > kZoneIsFull;
+  for (const auto& z : settings_.zones) {
+    if (!zoneAllows(job, z)) continue;
+    for (const auto& p : books_.pools()) {
+      const auto& s = *job.spec;
+      bool fits = p.zone == z && s.allowsType(p.type) && s.each.fitsIn(p.size) && (!p.spot || s.lendable);
+      // One that boots is on its way; of others, after a while, only those with room count.
+      if (fits && (full ? p.booting > 0 || hasRoom(p, s.each) : p.machines > 0)) return;
+    }
+    open.push_back(z.value);
+  }
+  d.stuckZones = std::move(open);
+}
+
+// Tasks that are to be placed as soon as there is room. A job that has never worked is tried with one at a
+// time, and machines are neither rented nor kept for it between two tries.
+std::size_t Scheduler::wantsRoomFor(const Job& job, Time now) const {
+  if (job.atOnce)
+    return std::min<std::size_t>(job.waiting.size(), *job.atOnce - std::min(job.placed, *job.atOnce));
+  if (!failures_.suspect(job.id)) return job.waiting.size();
+  return now < job.notBefore ? 0 : std::min<std::size_t>(job.waiting.size(), 1);
+}
+
+void Scheduler::sendLoad() {
+  auto now = io_.now();
+  mesh::ShareLoad load;
+  load.share = taken_.share.value;
+  load.epoch = taken_.epoch.value;
+  for (auto& p : books_.pools()) p.booting = 0;
+  for (auto& [_, h] : books_.hosts())
+    h.pool->booting +=
+        !h.heard && h.known.record.address.empty() && h.known.record.phase == wire::HostPhase::InUse;
+  std::map<const mesh::Demand*, std::pair<double, double>> left;  // core seconds and cores not done yet
+  for (auto& [id, job] : books_.jobs()) {
+    auto& d = job.spec->lendable ? load.lendable : load.firm;
+    const auto& each = job.spec->each;
+    d.used += each.cores * job.placed;
+    if (!job.open()) continue;
+    double limit = job.team ? std::max(0.0, job.team->coresMax - books_.teamUse(job.spec->team).cores) : 0;
+    auto& w = fragile(job) ? load.firm : d;
+    auto waiting = wantsRoomFor(job, now);
+    w.waiting += std::min(each.cores * static_cast<double>(waiting), limit);
+    d.largestTask = std::max(d.largestTask, each.cores);
+    auto cores = job.unfinished().cores;
+    left[&d].first += cores * job.spec->expectS;
+    left[&d].second += cores;
+    if (each.cores > 0) d.ramPerCore = std::max(d.ramPerCore, each.ram / each.cores);
+    if (job.spec->types) d.types = *job.spec->types;
+    bool waits = !job.waiting.empty() && limit >= each.cores - 1e-6 && now >= job.notBefore;
+    if (waits && (job.spec->spread || job.spec->zone || job.spec->oneZone)) stuckZones(job, d);
+  }
+  while (!arrivals_.empty() && now - arrivals_.front().at > kArrivalsKept) arrivals_.pop_front();
+  for (const auto& a : arrivals_) {
+    auto& d = a.lendable ? load.lendable : load.firm;
+    d.arriving += a.cores / inSeconds(kArrivalsKept);
+    d.largestJob = std::max(d.largestJob, a.cores);
+  }
+  for (auto* d : {&load.firm, &load.lendable})
+    if (auto l = left.find(d); l != left.end() && l->second.second > 0)
+      d->runS = l->second.first / l->second.second;
+  while (!leaving_.empty() && now - leaving_.front().at > kLeavingKept) leaving_.pop_front();
+  for (const auto& l : leaving_)
+    (l.lendable ? load.lendable : load.firm).leaving += l.cores / inSeconds(kLeavingKept);
+  // Machines in plain use are not named, but for the few of each kind with least on them: those are let go of
+  // first.
+  std::vector<const Host*> named;
+  std::array<std::vector<const Host*>, 2> busy;
+  for (const auto& [_, h] : books_.hosts())
+    (!h.open() || h.placements.empty() ? named : busy[h.spot()]).push_back(&h);
+  for (auto& kind : busy) {
+    auto few = std::min(kBusyNamed, kind.size());
+    std::partial_sort(kind.begin(), kind.begin() + static_cast<std::ptrdiff_t>(few), kind.end(),
+                      [](const Host* a, const Host* b) {
+                        return std::pair(a->used.cores, a->no) < std::pair(b->used.cores, b->no);
+                      });
+    named.insert(named.end(), kind.begin(), kind.begin() + static_cast<std::ptrdiff_t>(few));
+  }
+  for (const Host* h : named) {
+    double idle = h->placements.empty() ? inSeconds(now - h->idleSince) : 0;
+    bool draining = h->leaving || h->reclaimAt || h->known.record.phase != wire::HostPhase::InUse;
+    load.hosts.push_back({h->id.value, h->known.record.type, h->zone().value, h->spot(), h->free().cores,
+                          idle, h->open(), draining, h->emptying, idle <= 0 && !movableReplicas(*h),
+                          static_cast<double>(io_.wall().value - h->known.record.since.value) / 1000.0});
+  }
+  out_.load(load);
+}
+
+}  // namespace cherryloft
--- /dev/null
+++ b/src/actors/scheduler_preemption.cpp
@@ -0,0 +1,142 @@
+// Preemption: which tasks may be stopped for a job that finds no room, and on which machine least is lost.
+#include <algorithm>
+#include <utility>
+
+#include "actors/scheduler.h"
+#include "policy/preempt.h"
+
+namespace cherryloft {
+namespace {
+constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
+constexpr double kPatience = 0.25;    // part of its aim for starts that a job waits before others give way
+constexpr double kLimitSlack = 1e-6;  // cores; sums of decimal numbers are not exact
+constexpr double kServiceLoss = 600;  // seconds of work that moving a replica counts as
+constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
+constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
+}  // namespace
+
+// Tasks that the job may stop on the machine, and what they are.
+std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(const Job& job,
+                                                                               bool guaranteed,
+                                                                               const Host& h) const {
+  auto now = io_.now();
+  std::vector<policy::Victim> offered;
+  std::vector<TaskId> tasks;
+  for (const auto& [task, p] : h.placements) {
+    const auto& other = *p.job->spec;
+    const Team* t = settings_.team(other.team);
+    bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - 1e-6;
+    bool sameTeam = other.team == job.spec->team;
+    // What this very round placed is not stopped by it: the two would take turns for ever.
+    if (!p.committed || !p.wanted ||
+        !policy::mayStop(job.spec->rank, guaranteed, sameTeam, other.rank, above))
+      continue;
+    double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
+    if (other.snapshotEveryS > 0) ran = std::min(ran, other.snapshotEveryS);
+    if (other.shape == Shape::Service) ran += kServiceLoss;
+    offered.push_back({other.each, ran});
+    tasks.push_back(task);
+  }
+  return {std::move(offered), std::move(tasks)};
+}
+
+bool Scheduler::holderCouldMakeRoom(const Job& job) const {
+  if (!books_.mayPreempt(job.spec->rank, false)) return false;
+  unsigned looked = 0;
+  for (const auto& [_, h] : *job.holders) {
+    if (!allowed(job, *h)) continue;
+    if (++looked > settings_.tuning.sample) return false;
+    auto e = policy::evict(h->free() + h->leavingRoom(), job.spec->each, victims(job, false, *h).first);
+    if (e && e->lost <= kSlowStart) return true;
+  }
+  return false;
+}
+
+// Machines on which room may be made for the job: K holders of its image, and of all others as many as a
+// sample of K shows.
+std::vector<Host*> Scheduler::peekForRoom(const Job& job) {
+  std::vector<Host*> peeked;
+  for (const auto& [_, h] : *job.holders)
+    if (peeked.size() < settings_.tuning.sample && allowed(job, *h)) peeked.push_back(h);
+  const auto& owned = books_.openHosts();
+  for (auto i : policy::sample(owned.size(), settings_.tuning.sample, rng_))
+    if (job.holders->count(owned[i]->no) == 0 && allowed(job, *owned[i])) peeked.push_back(owned[i]);
+  return peeked;
+}
+
+Resources& Scheduler::RoomToCome::of(const Host& h) {
+  auto [it, fresh] = left.try_emplace(h.no);
+  if (fresh) it->second = h.free() + h.leavingRoom();
+  return it->second;
+}
+
+// Where a task of the job would cost others least.
+std::optional<Scheduler::PlannedEviction> Scheduler::cheapestEviction(const Job& job, bool guaranteed,
+                                                                      const std::vector<Host*>& peeked,
+                                                                      RoomToCome& room) const {
+  std::optional<PlannedEviction> best;
+  for (Host* h : peeked) {
+    auto [offered, tasks] = victims(job, guaranteed, *h);
+    auto eviction = policy::evict(room.of(*h), job.spec->each, offered);
+    if (!eviction) continue;
+    if (tooSlow(job, *h)) eviction->lost += kSlowStart;
+    if (best && eviction->lost >= best->lost) continue;
+    best = PlannedEviction{h, eviction->lost, {}};
+    for (auto i : eviction->victims) best->victims.push_back(tasks[i]);
+  }
+  return best;
+}
+
+void Scheduler::carryOut(const PlannedEviction& plan, const Job& job, RoomToCome& room) {
+  Host& h = *plan.host;
+  for (const auto& task : plan.victims) {
+    auto victim = h.placements.find(task);
+    if (victim == h.placements.end()) continue;  // it went with another member of its gang
+    log_->debug("{} gives way on {} to {}", wire::encodeTask(task), h.id.value, job.id.value);
+    room.of(h) += victim->second.job->spec->each;
+    stop(h, task, victim->second);
+    ++spans_.evicted;
+  }
+  room.of(h) -= job.spec->each;
+}
+
+// In a large fleet room comes free all the time, and what is stopped is lost.
+bool Scheduler::waitsForOthers(const Ranked& blocked) const {
+  auto within = settings_.startWithin(blocked.job->spec->jobClass);
+  return !within || blocked.c.ageS >= kPatience * *within;
+}
+
+// Stops what may be stopped for those who found no room, in their order, least lost work first.
+void Scheduler::makeRoom(const std::vector<Ranked>& blocked) {
+  RoomToCome room;
+  std::set<HostId> changed;
+  unsigned asked = 0;
+  for (const auto& r : blocked) {
+    if (asked >= kMostEvictionsAsked) break;
+    if (!books_.mayPreempt(r.job->spec->rank, r.c.guaranteed) || !waitsForOthers(r)) continue;
+    lastRoomMade_ = io_.now();
+    makeRoomFor(r, room, asked, changed);
+  }
+  for (const auto& id : changed) direct(*books_.host(id));
+}
+
+void Scheduler::makeRoomFor(const Ranked& blocked, RoomToCome& room, unsigned& asked,
+                            std::set<HostId>& changed) {
+  Job& job = *blocked.job;
+  const auto& spec = *job.spec;
+  double headroom = job.team ? job.team->coresMax - books_.teamUse(spec.team).cores : 0;
+  auto peeked = peekForRoom(job);
+  for (std::size_t n = 0; n < job.waiting.size() && asked < kMostEvictionsAsked; ++n) {
+    headroom -= spec.each.cores;
+    if (headroom < -kLimitSlack) return;
+    ++asked;
+    auto plan = cheapestEviction(job, blocked.c.guaranteed, peeked, room);
+    if (!plan) return;
+    // The holders are spoken for: the rest need not wait for them.
+    if (tooSlow(job, *plan->host)) job.anyStartUntil = io_.now() + kAnyStart;
+    carryOut(*plan, job, room);
+    if (!plan->victims.empty()) changed.insert(plan->host->id);
+  }
+}
+
+}  // namespace cherryloft
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -9,19 +9,14 @@
 namespace cherryloft {
 namespace {
 
-constexpr unsigned kTurn = 8;                 // tasks a job is given before the next in line has its turn
-constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
-constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
-constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
-constexpr double kOverdueS = 90;      // a job that has not begun by then has a turn before all others
+constexpr unsigned kTurn = 8;     // tasks a job is given before the next in line has its turn
+constexpr double kOverdueS = 90;  // a job that has not begun by then has a turn before all others
 constexpr Duration kBetweenRounds{30};
 constexpr Duration kBetweenTrials{15'000};  // of a job that never worked, while a task of it is somewhere
 constexpr double kLongRun = 0.7;  // part of what its aim allows that makes a task too long for a spot machine
 constexpr double kLostRun = 0.5;  // the same for age and run of a job that lost a task already
 constexpr double kNoHope = 1.3;
-constexpr double kPatience = 0.25;  // part of its aim for starts that a job waits before others give way
 constexpr Duration kBetweenEvictions{250};  // what was stopped must be seen to be gone first
-constexpr double kServiceLoss = 600;        // seconds of work that moving a replica counts as
 
 double fetchS(const Host& h, const JobSpec& job) {
   return h.fetchGbPerS > 0 ? job.imageGb / h.fetchGbPerS : 0;
@@ -230,43 +225,6 @@
   return within && job.holders->count(h.no) == 0 && fetchS(h, *job.spec) > *within;
 }
 
-// Tasks that the job may stop on the machine, and what they are.
-std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(const Job& job,
-                                                                               bool guaranteed,
-                                                                               const Host& h) const {
-  auto now = io_.now();
-  std::vector<policy::Victim> offered;
-  std::vector<TaskId> tasks;
-  for (const auto& [task, p] : h.placements) {
-    const auto& other = *p.job->spec;
-    const Team* t = settings_.team(other.team);
-    bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - 1e-6;
-    bool sameTeam = other.team == job.spec->team;
-    // What this very round placed is not stopped by it: the two would take turns for ever.
-    if (!p.committed || !p.wanted ||
-        !policy::mayStop(job.spec->rank, guaranteed, sameTeam, other.rank, above))
-      continue;
-    double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
-    if (other.snapshotEveryS > 0) ran = std::min(ran, other.snapshotEveryS);
-    if (other.shape == Shape::Service) ran += kServiceLoss;
-    offered.push_back({other.each, ran});
-    tasks.push_back(task);
-  }
-  return {std::move(offered), std::move(tasks)};
-}
-
-bool Scheduler::holderCouldMakeRoom(const Job& job) const {
-  if (!books_.mayPreempt(job.spec->rank, false)) return false;
-  unsigned looked = 0;
-  for (const auto& [_, h] : *job.holders) {
-    if (!allowed(job, *h)) continue;
-    if (++looked > settings_.tuning.sample) return false;
-    auto e = policy::evict(h->free() + h->leavingRoom(), job.spec->each, victims(job, false, *h).first);
-    if (e && e->lost <= kSlowStart) return true;
-  }
-  return false;
-}
-
 // Room is short: machines that were to empty themselves take work again. True if there were any.
 bool Scheduler::keepEmptying() {
   bool any = false;
@@ -436,67 +394,4 @@
   return nullptr;
 }
 
-// Stops what may be stopped for those who found no room, in their order, least lost work first. Of many
-// machines K are peeked at, holders of the image first.
-void Scheduler::makeRoom(const std::vector<Ranked>& blocked) {
-  std::map<std::uint32_t, Resources> room;  // free now or soon, less what is spoken for
-  auto roomOf = [&](const Host& h) -> Resources& {
-    auto [it, fresh] = room.try_emplace(h.no);
-    if (fresh) it->second = h.free() + h.leavingRoom();
-    return it->second;
-  };
-  std::set<HostId> changed;
-  unsigned asked = 0;
-  for (const auto& r : blocked) {
-    Job& job = *r.job;
-    const auto& spec = *job.spec;
-    if (asked >= kMostEvictionsAsked) break;
-    if (!books_.mayPreempt(spec.rank, r.c.guaranteed)) continue;
-    // In a large fleet room comes free all the time, and what is stopped is lost.
-    if (auto within = settings_.startWithin(spec.jobClass); within && r.c.ageS < kPatience * *within)
-      continue;
-    lastRoomMade_ = io_.now();
-    double headroom = job.team ? job.team->coresMax - books_.teamUse(spec.team).cores : 0;
-    std::vector<Host*> peeked;
-    for (const auto& [_, h] : *job.holders)
-      if (peeked.size() < settings_.tuning.sample && allowed(job, *h)) peeked.push_back(h);
-    const auto& owned = books_.openHosts();
-    for (auto i : policy::sample(owned.size(), settings_.tuning.sample, rng_))
-      if (job.holders->count(owned[i]->no) == 0 && allowed(job, *owned[i])) peeked.push_back(owned[i]);
-    for (std::size_t n = 0; n < job.waiting.size() && asked < kMostEvictionsAsked; ++n) {
-      headroom -= spec.each.cores;
-      if (headroom < -1e-6) break;
-      ++asked;
-      Host* best = nullptr;
-      std::optional<policy::Eviction> cheapest;
-      std::vector<TaskId> bestTasks;
-      for (Host* h : peeked) {
-        auto [offered, tasks] = victims(job, r.c.guaranteed, *h);
-        auto e = policy::evict(roomOf(*h), spec.each, offered);
-        if (e && tooSlow(job, *h)) e->lost += kSlowStart;
-        if (e && (!cheapest || e->lost < cheapest->lost)) {
-          cheapest = e;
-          best = h;
-          bestTasks = tasks;
-        }
-      }
-      if (!best) break;
-      // The holders are spoken for: the rest need not wait for them.
-      if (tooSlow(job, *best)) job.anyStartUntil = io_.now() + kAnyStart;
-      for (auto i : cheapest->victims) {
-        auto victim = best->placements.find(bestTasks[i]);
-        if (victim == best->placements.end()) continue;  // it went with another member of its gang
-        auto& p = victim->second;
-        log_->debug("{} gives way on {} to {}", wire::encodeTask(bestTasks[i]), best->id.value, job.id.value);
-        roomOf(*best) += p.job->spec->each;
-        stop(*best, bestTasks[i], p);
-        ++spans_.evicted;
-        changed.insert(best->id);
-      }
-      roomOf(*best) -= spec.each;
-    }
-  }
-  for (const auto& id : changed) direct(*books_.host(id));
-}
-
 }  // namespace cherryloft
