--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -221,7 +221,7 @@
     bool over = counted.committed && known != dir_.jobs.end();
     if (over && known->second.status == JobStatus::Aborted) {
       if (!counted.abortedSince) counted.abortedSince = now;
-      over = known->second.atOnce == 0u ||
+      over = known->second.atOnce == 0U ||
              now - *counted.abortedSince > seconds(settings_.cancelS) + kBeyondCancel;
     } else if (over) {
       over = known->second.status == JobStatus::Done || known->second.share == taken_.share;
--- a/tests/unit/failures_test.cpp
+++ b/tests/unit/failures_test.cpp
@@ -62,7 +62,7 @@
   fail("a", 1);
   fail("b", 1);
   EXPECT_EQ(history_.contrastAfter(JobId{"a"}), Duration{1'000} + 2 * kReport);
-  EXPECT_EQ(history_.undecided().size(), 2u);
+  EXPECT_EQ(history_.undecided().size(), 2U);
   history_.keptRunning(JobId{"a"}, host(2), now_);
   history_.keptRunning(JobId{"b"}, host(2), now_);
   EXPECT_EQ(faulty("a"), std::vector<HostId>{host(1)});
