--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -11,7 +11,7 @@
 constexpr int kMostRetryAfterS = 20;
 constexpr Duration kStrongRead{1'000};  // users wait 2 s for a poll
 constexpr Duration kAskOwner{600};
-constexpr Duration kWithdraw{2'500};
+constexpr Duration kCancelTimeout{2'500};
 }  // namespace
 
 Api::Api(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir, Peers& peers,
@@ -132,16 +132,16 @@
   });
 }
 
-void Api::withdraw(const JobId& id, Responder done) {
-  if (const KnownJob* job = known(id)) return withdrawKnown(id, job->share, std::move(done));
+void Api::cancel(const JobId& id, Responder done) {
+  if (const KnownJob* job = known(id)) return cancelKnown(id, job->share, std::move(done));
   strongRead(id, [this, id, done = std::move(done)](HttpResponse r) {
     const KnownJob* job = known(id);
     if (r.status != 200 || !job) return done(std::move(r));
-    withdrawKnown(id, job->share, done);
+    cancelKnown(id, job->share, done);
   });
 }
 
-void Api::withdrawKnown(const JobId& id, ShareNo share, Responder done) {
+void Api::cancelKnown(const JobId& id, ShareNo share, Responder done) {
   const KnownJob* job = known(id);
   if (job->status != JobStatus::Open) return done(ended(id, *job));
   if (Scheduler* s = out_.scheduler(share)) {
@@ -149,7 +149,7 @@
     auto once = [answered, done](HttpResponse r) {
       if (!std::exchange(*answered, true)) done(std::move(r));
     };
-    bool taken = s->withdraw(id, [this, id, once](JobStatus) {
+    bool taken = s->cancel(id, [this, id, once](JobStatus) {
       const KnownJob* j = known(id);
       if (j && j->status != JobStatus::Open)
         once(ended(id, *j));
@@ -157,7 +157,7 @@
         once(wire::userUnavailable("the job's record is unreadable"));
     });
     if (!taken) return done(wire::userUnavailable("the job's share is being taken over"));
-    io_.after(kWithdraw, [once] { once(wire::userUnavailable("the state service does not answer")); });
+    io_.after(kCancelTimeout, [once] { once(wire::userUnavailable("the state service does not answer")); });
     return;
   }
   const NodeId* owner = dir_.ownerOf(share);
@@ -165,7 +165,7 @@
     return done(wire::userUnavailable("the job's share is being taken over"));
   if (!peers_.reaches(*owner))
     return done(wire::userUnavailable("the owner of the job's share is out of reach"));
-  peers_.ask(*owner, mesh::JobAsk{0, true, id.value}, kWithdraw + Duration{300},
+  peers_.ask(*owner, mesh::JobAsk{0, true, id.value}, kCancelTimeout + Duration{300},
              [this, id, done = std::move(done)](const mesh::Answer* a) {
                if (a && a->status > 0) return done(relayed(id, *a));
                done(wire::userUnavailable("the owner of the job's share does not answer"));
@@ -181,7 +181,7 @@
   if (job && job->status != JobStatus::Open) return reply(ended(id, *job));
   Scheduler* s = job ? out_.scheduler(job->share) : nullptr;
   if (!s) return reply({});
-  if (ask.withdraw) return withdrawKnown(id, job->share, reply);
+  if (ask.cancel) return cancelKnown(id, job->share, reply);
   auto view = s->poll(id);
   reply(view ? HttpResponse{200, wire::encodeJob(id, *view), false, 0} : HttpResponse{});
 }
--- a/src/actors/api.h
+++ b/src/actors/api.h
@@ -21,7 +21,7 @@
 
   void submit(const std::string& body, Responder done);
   void poll(const JobId& id, Responder done);
-  void withdraw(const JobId& id, Responder done);
+  void cancel(const JobId& id, Responder done);
   // A sibling asks us as the owner of the job's share; status 0 says we can't tell.
   void asked(const mesh::JobAsk& ask, std::function<void(mesh::Answer)> done);
 
@@ -32,7 +32,7 @@
   void strongRead(const JobId& id, Responder done);
   HttpResponse ended(const JobId& id, const KnownJob& job) const;
   HttpResponse relayed(const JobId& id, const mesh::Answer& a);
-  void withdrawKnown(const JobId& id, ShareNo share, Responder done);
+  void cancelKnown(const JobId& id, ShareNo share, Responder done);
 
   const Settings& settings_;
   Io& io_;
--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -36,7 +36,7 @@
   j.spec = known.spec;
   j.team = settings_.team(j.spec->team);
   j.holders = &holders_[j.spec->image];
-  j.stamp = known.stamp;
+  j.version = known.version;
   j.submitted = known.submitted;
   j.status = known.status;
   j.atOnce = known.atOnce;
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -36,11 +36,11 @@
   std::shared_ptr<const JobSpec> spec;
   const Team* team = nullptr;
   HostSet* holders = nullptr;  // machines that are taken to cache its image
-  Stamp stamp;
+  Version version;
   WallTime submitted;
   JobStatus status = JobStatus::Open;  // as committed
   bool abortAsked = false;
-  std::vector<std::function<void(JobStatus)>> withdrawers;
+  std::vector<std::function<void(JobStatus)>> cancelWaiters;
   std::vector<Task> tasks;
   std::deque<std::uint32_t> waiting;
   std::map<Zone, unsigned> zones;  // its tasks by zone, as the placement rules count them
@@ -67,7 +67,7 @@
   bool wanted = true;     // false: it is to be stopped
   bool restored = false;  // read from the store: a former owner may have sent its start
   bool sent = false;      // we sent its start
-  bool shown = false;     // a report of this tenure showed it
+  bool shown = false;     // a report of this session showed it
   wire::TaskPhase phase = wire::TaskPhase::Fetching;
   Serial checkInStart;  // the last check-in whose answer carried its start
   Time placedAt{};
@@ -114,15 +114,15 @@
 
   bool heard = false;  // a report with our token came (invariant 7)
   bool stale = false;  // not heard of late: it gets no new work
-  Tenure tenure, expiredTenure;
+  WorkerSession session, expiredSession;
   Serial serial;
   Time lastHeard{};
-  Time aliveUntil{};  // beyond this its worker has ended its tenure (invariant 2)
+  Time aliveUntil{};  // beyond this its worker has ended its session (invariant 2)
   Token base;         // the lowest token that is ours
   std::uint64_t raises = 0;
   Token seen;                      // highest token the worker reported
   std::optional<Token> unsettled;  // direct commands up to this token may still arrive (invariant 3)
-  Tenure hint;                     // the tenure that commands name while no report is trusted
+  WorkerSession hint;              // the session that commands name while no report is trusted
   bool directBusy = false, directAgain = false;
   unsigned askedInVain = 0;  // direct commands in a row without an answer
   Time directNotBefore{};
--- a/src/actors/cloud_catalog.cpp
+++ b/src/actors/cloud_catalog.cpp
@@ -51,7 +51,7 @@
     return;
   }
   wire::Transaction transaction;
-  transaction.when[keys::kCatalog] = directory.catalogStamp;
+  transaction.when[keys::kCatalog] = directory.catalogVersion;
   transaction.apply.push_back({keys::kCatalog, value, {}});
   context_.store.txn(Urgency::Control, transaction, kKeepDeadline, [this](const TxnResult& result) {
     if (!result.ok()) refreshedAt_ = Time{};
--- a/src/actors/deputy.cpp
+++ b/src/actors/deputy.cpp
@@ -5,7 +5,7 @@
 namespace cherryloft {
 namespace {
 // Between the last word that it answers nobody and a deputy's first answer: long enough for the owner to
-// notice that pulses are missing before any lease could end a moment too early in its books.
+// notice that heartbeats are missing before any lease could end a moment too early in its books.
 constexpr Duration kQuiet{5'000};
 constexpr Duration kDrift{100};
 
@@ -13,7 +13,7 @@
 Time time(std::int64_t ms) { return Time{Duration{ms}}; }
 }  // namespace
 
-void DeputyLink::fill(mesh::Pulse& p, bool hears, Time now) {
+void DeputyLink::fill(mesh::Heartbeat& p, bool hears, Time now) {
   p.at = ms(now);
   p.echo = seenAt_;
   p.deputy = !hears;
@@ -21,13 +21,13 @@
   if (hears) lastQuiet_ = now;
 }
 
-bool DeputyLink::came(const mesh::Pulse& p, Time now) {
+bool DeputyLink::came(const mesh::Heartbeat& p, Time now) {
   if (p.life < life_ || (p.life == life_ && p.at <= seenAt_)) return false;
   // A process that ended did not tell of its last answers.
   if (p.life > life_ && life_ > 0) told_ = std::max(told_, std::min(now, allowance_));
   life_ = p.life;
   seenAt_ = p.at;
-  // What it echoes is a word of ours, and the pulse younger than that word, however late it comes. A word
+  // What it echoes is a word of ours, and the heartbeat younger than that word, however late it comes. A word
   // from before our start may be by another clock.
   bool echoes = p.echo >= ms(started_) && p.echo <= ms(now);
   if (echoes && !p.deputy) quietAt_ = std::max(quietAt_, time(p.echo));
@@ -37,12 +37,12 @@
   allowedUntil_ = Time{};
   if (echoes && p.ownsForMs > 0) {
     allowedUntil_ = time(p.echo) + std::min(Duration{p.ownsForMs} + grace_, most_);
-    for (const auto& s : p.owns) shares_[ShareNo{s.share}] = {Epoch{s.epoch}, Stamp{s.cancelled}};
+    for (const auto& s : p.owns) shares_[ShareNo{s.share}] = {Epoch{s.epoch}, Version{s.cancelled}};
   }
   return true;
 }
 
-bool DeputyLink::mayAnswer(ShareNo share, Epoch epoch, Stamp seen, bool hears, Time now) const {
+bool DeputyLink::mayAnswer(ShareNo share, Epoch epoch, Version seen, bool hears, Time now) const {
   if (hears || now >= allowedUntil_ || now - lastQuiet_ < kQuiet + kDrift) return false;
   auto it = shares_.find(share);
   return it != shares_.end() && it->second.epoch == epoch && it->second.cancelled <= seen;
--- a/src/actors/deputy.h
+++ b/src/actors/deputy.h
@@ -21,14 +21,14 @@
     lastQuiet_ = started;
   }
 
-  // Completes a pulse to the sibling; hears: we have heard it of late.
-  void fill(mesh::Pulse& p, bool hears, Time now);
-  // False if the pulse is older than one that came before.
-  bool came(const mesh::Pulse& p, Time now);
+  // Completes a heartbeat to the sibling; hears: we have heard it of late.
+  void fill(mesh::Heartbeat& p, bool hears, Time now);
+  // False if the heartbeat is older than one that came before.
+  bool came(const mesh::Heartbeat& p, Time now);
 
   // As its deputy: whether we may answer a worker of that share that holds a token of that epoch, when we
   // know of all jobs what was committed up to `seen`.
-  bool mayAnswer(ShareNo share, Epoch epoch, Stamp seen, bool hears, Time now) const;
+  bool mayAnswer(ShareNo share, Epoch epoch, Version seen, bool hears, Time now) const;
   void answered(Time now) { lastAnswer_ = now; }
 
   // As an owner: the latest moment until now at which the sibling may have answered a worker of ours.
@@ -38,13 +38,13 @@
   Time started_;
   Duration grace_, most_;
   std::uint64_t life_ = 0;   // of the sibling's process
-  std::int64_t seenAt_ = 0;  // by its clock, when it sent the latest pulse that came
+  std::int64_t seenAt_ = 0;  // by its clock, when it sent the latest heartbeat that came
 
   // As its deputy.
   Time lastQuiet_{};  // our last word to it that we answer nobody in its name
   struct Word {
     Epoch epoch;
-    Stamp cancelled;
+    Version cancelled;
   };
   std::map<ShareNo, Word> shares_;
   Time allowedUntil_{};
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -16,29 +16,30 @@
 
 void applyShare(Directory& d, const wire::KeyChange& c, const std::string& name) {
   if (c.key == keys::kEpoch) {
-    if (auto e = c.value ? wire::parseCounter(*c.value) : std::nullopt) d.epoch = *e, d.epochStamp = c.stamp;
+    if (auto e = c.value ? wire::parseCounter(*c.value) : std::nullopt)
+      d.epoch = *e, d.epochVersion = c.version;
     return;
   }
   if (c.key == keys::kCatalog) {
     auto catalog = c.value ? wire::parseCatalog(*c.value) : std::nullopt;
-    if (catalog) d.catalog = std::move(*catalog), d.catalogStamp = c.stamp;
+    if (catalog) d.catalog = std::move(*catalog), d.catalogVersion = c.version;
     return;
   }
   if (c.key == keys::kGroups) {
-    d.groupsStamp = c.stamp;
+    d.groupsVersion = c.version;
     return;
   }
   auto owner = c.value ? wire::parseOwnerRecord(*c.value) : std::nullopt;
   if (c.key == keys::kLeader) {
     d.leader.reset();
-    if (owner) d.leader = KnownOwner{*owner, c.stamp};
+    if (owner) d.leader = KnownOwner{*owner, c.version};
     return;
   }
   ShareNo k;
   auto [p, ec] = std::from_chars(name.data(), name.data() + name.size(), k.value);
   if (ec != std::errc{} || p != name.data() + name.size()) return;
   d.shares.erase(k);
-  if (owner) d.shares[k] = KnownOwner{*owner, c.stamp};
+  if (owner) d.shares[k] = KnownOwner{*owner, c.version};
 }
 
 }  // namespace
@@ -56,10 +57,10 @@
   std::set<HostId> present;
   for (const auto& m : r->members) {
     auto it = hosts.find(m.id);
-    if (it != hosts.end() && it->second.stamp > c.stamp) continue;
+    if (it != hosts.end() && it->second.version > c.version) continue;
     present.insert(m.id);
     hosts[m.id] = {
-        {r->share, r->token, m.phase, r->type, r->zone, r->spot, m.address, r->since}, c.stamp, c.key};
+        {r->share, r->token, m.phase, r->type, r->zone, r->spot, m.address, r->since}, c.version, c.key};
     touched.push_back(m.id);
   }
   for (const auto& id : groups[c.key]) {
@@ -101,16 +102,16 @@
   return ends;
 }
 
-void Directory::ended(const JobId& id, JobStatus status, Stamp stamp) {
+void Directory::ended(const JobId& id, JobStatus status, Version version) {
   auto it = jobs.find(id);
-  if (it == jobs.end() || it->second.status != JobStatus::Open || it->second.stamp > stamp) return;
+  if (it == jobs.end() || it->second.status != JobStatus::Open || it->second.version > version) return;
   it->second.status = status;
-  it->second.stamp = stamp;
+  it->second.version = version;
   if (status == JobStatus::Done) it->second.spec.reset();
 }
 
 void Directory::ended(const JobId& id, JobStatus status) {
-  if (auto it = jobs.find(id); it != jobs.end()) ended(id, status, it->second.stamp);
+  if (auto it = jobs.find(id); it != jobs.end()) ended(id, status, it->second.version);
 }
 
 std::vector<HostId> Directory::apply(const wire::KeyChange& c, const Log& log) {
@@ -122,10 +123,10 @@
       return {};
     }
     auto& j = jobs[id];
-    if (j.stamp > c.stamp) return {};
+    if (j.version > c.version) return {};
     if (j.status !=
         JobStatus::Open) {  // terminal is final; the end may have been heard of before its record came
-      j.stamp = c.stamp;
+      j.version = c.version;
       j.atOnce = r->atOnce;
       return {};
     }
@@ -133,7 +134,7 @@
     j.share = r->share;
     j.tasks = r->tasks;
     j.submitted = r->submitted;
-    j.stamp = c.stamp;
+    j.version = c.version;
     j.atOnce = r->atOnce;
     j.spec = r->spec ? std::make_shared<const JobSpec>(std::move(*r->spec)) : nullptr;
   } else if (under(c.key, keys::kHosts)) {
@@ -141,7 +142,7 @@
   } else if (under(c.key, keys::kNodes)) {
     NodeId n{c.key.substr(keys::kNodes.size())};
     if (c.value)
-      nodes[n] = c.stamp;
+      nodes[n] = c.version;
     else
       nodes.erase(n);
   } else if (under(c.key, keys::kShares)) {
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -19,20 +19,20 @@
   ShareNo share;
   std::uint32_t tasks = 0;
   WallTime submitted;
-  Stamp stamp;
+  Version version;
   std::shared_ptr<const JobSpec> spec;    // while open
   std::optional<std::uint32_t> atOnce{};  // of a job in another share than its team's (wire::JobRecord)
 };
 
 struct KnownHost {
   wire::HostRecord record;
-  Stamp stamp;        // of its group's key
+  Version version;    // of its group's key
   std::string group;  // that key
 };
 
 struct KnownOwner {
   wire::OwnerRecord record;
-  Stamp stamp;
+  Version version;
 };
 
 struct Directory {
@@ -40,13 +40,13 @@
   std::unordered_map<HostId, KnownHost> hosts;
   std::map<std::string, std::vector<HostId>> groups;  // host/ keys and the machines in each
   std::unordered_map<ShareNo, KnownOwner> shares;
-  std::unordered_map<NodeId, Stamp> nodes;  // controllers whose hold lives
+  std::unordered_map<NodeId, Version> nodes;  // controllers whose hold lives
   std::optional<KnownOwner> leader;
   Epoch epoch;  // the last one drawn
-  Stamp epochStamp;
+  Version epochVersion;
   Catalog catalog;
-  Stamp catalogStamp;
-  Stamp groupsStamp;  // of the latest creation of machine groups
+  Version catalogVersion;
+  Version groupsVersion;  // of the latest creation of machine groups
 
   bool alive(const NodeId& n) const { return nodes.count(n) > 0; }
   const NodeId* ownerOf(ShareNo k) const {
@@ -61,8 +61,8 @@
   std::vector<wire::Order> endsOfAborted(const wire::Report& r) const;
   // The word that the owner gives to users: the job is over. Its record comes later.
   void ended(const JobId& id, JobStatus status);
-  // The word of the owner of the job's share that it is over: committed under that stamp, and final.
-  void ended(const JobId& id, JobStatus status, Stamp stamp);
+  // The word of the owner of the job's share that it is over: committed under that version, and final.
+  void ended(const JobId& id, JobStatus status, Version version);
   // A machine group as it is known, to be written anew with a change.
   wire::GroupRecord group(const std::string& key) const;
 
--- a/src/actors/group_commit.cpp
+++ b/src/actors/group_commit.cpp
@@ -52,7 +52,7 @@
       continue;
     }
     batch->giveUp = std::max(batch->giveUp, creation.giveUp);
-    transaction.when[write.key] = Stamp{0};
+    transaction.when[write.key] = Version{0};
     transaction.apply.push_back(write);
     batch->creations.push_back(std::move(creation));
   }
--- a/src/actors/machine_records.cpp
+++ b/src/actors/machine_records.cpp
@@ -59,15 +59,15 @@
 }
 
 // That a group's key is absent does not tell a late transaction that it was never there: so all write one key
-// under its stamp, and none is carried out after a newer one. It could put machines into two groups, or bring
-// back what was returned.
+// conditioned on its version, and none is carried out after a newer one. It could put machines into two
+// groups, or bring back what was returned.
 void MachineRecords::sendNext() {
   const auto& leader = context_.directory.leader;
   if (!context_.leadership.active || !leader || !current_ || !sent_.empty()) return;
   const auto& settings = context_.settings;
   wire::Transaction transaction;
-  transaction.when[keys::kLeader] = leader->stamp;
-  transaction.when[keys::kGroups] = context_.directory.groupsStamp;
+  transaction.when[keys::kLeader] = leader->version;
+  transaction.when[keys::kGroups] = context_.directory.groupsVersion;
   transaction.apply.push_back({keys::kGroups, wire::encodeCounter(leader->record.epoch), {}});
   std::size_t weight = 0;
   while (!waiting_.empty() && transaction.apply.size() < settings.txnOps &&
@@ -79,7 +79,7 @@
     auto key = keys::group(group.members.front().id, leader->record.epoch);
     wire::Write write{key, wire::encodeGroup(group), {}};
     weight += wire::weightOf(write);
-    transaction.when[key] = Stamp{0};
+    transaction.when[key] = Version{0};
     transaction.apply.push_back(std::move(write));
   }
   if (transaction.apply.size() > 1) send(transaction);
--- a/src/actors/machine_returns.cpp
+++ b/src/actors/machine_returns.cpp
@@ -83,14 +83,14 @@
   wire::Transaction transaction;
   std::size_t weight = 0;
   std::vector<HostId> written;
-  transaction.when[keys::kLeader] = directory.leader->stamp;
+  transaction.when[keys::kLeader] = directory.leader->version;
   // What is dropped frees tasks; what is only marked can wait.
   auto most = change == Change::Drop ? context_.settings.txnOps : context_.store.unhurried();
   for (const auto& [key, changed] : byGroup) {
     if (transaction.apply.size() >= most || weight + context_.settings.valueBytes > wire::kMostWeight) break;
     auto group = directory.group(key);
     if (group.members.empty()) continue;
-    transaction.when[key] = directory.hosts.at(group.members.front().id).stamp;
+    transaction.when[key] = directory.hosts.at(group.members.front().id).version;
     auto write = rewritten(key, std::move(group), changed, change);
     weight += wire::weightOf(write);
     transaction.apply.push_back(std::move(write));
--- a/src/actors/membership.cpp
+++ b/src/actors/membership.cpp
@@ -51,8 +51,8 @@
       review();  // drops what the directory shows as taken
       wire::Transaction t;
       auto me = dir_.nodes.find(settings_.node);
-      t.when[keys::node(settings_.node)] = me == dir_.nodes.end() ? Stamp{0} : me->second;
-      for (const auto& [k, _] : owned_) t.when[keys::share(k)] = dir_.shares.at(k).stamp;
+      t.when[keys::node(settings_.node)] = me == dir_.nodes.end() ? Version{0} : me->second;
+      for (const auto& [k, _] : owned_) t.when[keys::share(k)] = dir_.shares.at(k).version;
       t.apply.push_back(
           {keys::node(settings_.node), "{\"at\":" + std::to_string(io_.wall().value) + "}", hold});
       store_.txn(Urgency::Hold, t, Duration{1'000}, [this, hold, again](TxnResult r) {
@@ -63,9 +63,9 @@
         }
         if (!r.ok()) return again();
         joined_ = true;
-        joinStamp_ = r.revision;
+        joinVersion_ = r.revision;
         log_->info("joined with hold {}", hold);
-        out_.standing(standing());
+        out_.leaseValidity(leaseValidity());
         review();
       });
     });
@@ -103,7 +103,7 @@
       joined_ = false;
       silent_ = true;
       own_.ownsUntil = std::min(own_.ownsUntil, now);
-      out_.standing(standing());
+      out_.leaseValidity(leaseValidity());
       open();
       break;
   }
@@ -114,12 +114,12 @@
   auto drift = Duration{static_cast<std::int64_t>(static_cast<double>(ttl.count()) * kDrift)};
   own_.ownsUntil = std::max(own_.ownsUntil, sent + ttl - drift - kRounding);
   own_.answersUntil = std::max(own_.answersUntil, own_.ownsUntil + settings_.grace());
-  out_.standing(standing());
+  out_.leaseValidity(leaseValidity());
 }
 
 // Until the node/ key hangs on the hold, the hold keeps nobody from taking our shares.
-Standing Membership::standing() const {
-  Standing s = own_;
+LeaseValidity Membership::leaseValidity() const {
+  LeaseValidity s = own_;
   if (!joined_) s.ownsUntil = Time{};
   return s;
 }
@@ -164,8 +164,8 @@
       ++it;
     }
   }
-  bool able = joined_ && standing().owns(now);
-  bool leads = able && dir_.leader && mine(*dir_.leader) && dir_.leader->stamp > joinStamp_;
+  bool able = joined_ && leaseValidity().owns(now);
+  bool leads = able && dir_.leader && mine(*dir_.leader) && dir_.leader->version > joinVersion_;
   if (leads != leads_) {
     leads_ = leads;
     out_.leading(leads);
@@ -190,8 +190,8 @@
   }
   if (o && mine(*o)) {
     // Given back to this very process: its epoch is fresh. Left over from an earlier process: draw a new one.
-    if (o->stamp > joinStamp_ && o->record.epoch > used_[k])
-      adopt(k, o->record.epoch, o->stamp);
+    if (o->version > joinVersion_ && o->record.epoch > used_[k])
+      adopt(k, o->record.epoch, o->version);
     else
       take(k, o);
     return;
@@ -216,18 +216,18 @@
   }
   if (!leaderless_) leaderless_ = now;
   if (left || now - *leaderless_ >= kStep * rankFor(ShareNo{0}))
-    draw(keys::kLeader, o, [this](Epoch e, Stamp) { log_->info("leading with epoch {}", e.value); });
+    draw(keys::kLeader, o, [this](Epoch e, Version) { log_->info("leading with epoch {}", e.value); });
 }
 
 // Makes us the owner in a record, with a new epoch; fails if the former owner is alive after all.
 void Membership::draw(const std::string& key, const KnownOwner* former,
-                      std::function<void(Epoch, Stamp)> done) {
+                      std::function<void(Epoch, Version)> done) {
   wire::Transaction t;
   Epoch next{dir_.epoch.value + 1};
-  t.when[key] = former ? former->stamp : Stamp{0};
-  t.when[keys::kEpoch] = dir_.epochStamp;
-  t.when[keys::node(settings_.node)] = joinStamp_;
-  if (former && !mine(*former)) t.when[keys::node(former->record.owner)] = Stamp{0};
+  t.when[key] = former ? former->version : Version{0};
+  t.when[keys::kEpoch] = dir_.epochVersion;
+  t.when[keys::node(settings_.node)] = joinVersion_;
+  if (former && !mine(*former)) t.when[keys::node(former->record.owner)] = Version{0};
   t.apply.push_back({key, wire::encodeOwnerRecord({settings_.node, next}), {}});
   t.apply.push_back({keys::kEpoch, wire::encodeCounter(next), {}});
   taking_ = true;
@@ -248,27 +248,27 @@
 }
 
 void Membership::take(ShareNo k, const KnownOwner* former) {
-  draw(keys::share(k), former, [this, k](Epoch e, Stamp s) { adopt(k, e, s); });
+  draw(keys::share(k), former, [this, k](Epoch e, Version s) { adopt(k, e, s); });
 }
 
-void Membership::adopt(ShareNo k, Epoch e, Stamp s) {
+void Membership::adopt(ShareNo k, Epoch e, Version s) {
   log_->info("share {} taken with epoch {}", k.value, e.value);
   owned_[k] = e;
   used_[k] = e;
   orphanSince_.erase(k);
   handBackAsked_[k] = io_.now();
   // The former owner, or a deputy of its, may answer for as long; given by a living one, also for its hold.
-  out_.taken({k, e, s, settings_.grace() + settings_.holdTtl()});
+  out_.takenOver({k, e, s, settings_.grace() + settings_.holdTtl()});
 }
 
-void Membership::give(ShareNo k, Stamp stamp, const NodeId& to, std::function<void(bool)> done) {
+void Membership::give(ShareNo k, Version version, const NodeId& to, std::function<void(bool)> done) {
   auto node = dir_.nodes.find(to);
   if (taking_ || !joined_ || node == dir_.nodes.end()) return done(false);
   wire::Transaction t;
   Epoch next{dir_.epoch.value + 1};
-  t.when[keys::share(k)] = stamp;
-  t.when[keys::kEpoch] = dir_.epochStamp;
-  t.when[keys::node(settings_.node)] = joinStamp_;
+  t.when[keys::share(k)] = version;
+  t.when[keys::kEpoch] = dir_.epochVersion;
+  t.when[keys::node(settings_.node)] = joinVersion_;
   t.when[keys::node(to)] = node->second;
   t.apply.push_back({keys::share(k), wire::encodeOwnerRecord({to, next}), {}});
   t.apply.push_back({keys::kEpoch, wire::encodeCounter(next), {}});
--- a/src/actors/membership.h
+++ b/src/actors/membership.h
@@ -9,17 +9,17 @@
 namespace cherryloft {
 
 // Until when a controller may do what, by its own steady clock (invariant 6).
-struct Standing {
+struct LeaseValidity {
   Time ownsUntil{};     // starts, forgets, non-terminal answers
   Time answersUntil{};  // check-ins without new orders
   bool owns(Time now) const { return now < ownsUntil; }
   bool answers(Time now) const { return now < answersUntil; }
 };
 
-struct Taken {
+struct ShareTakeover {
   ShareNo share;
   Epoch epoch;
-  Stamp stamp;
+  Version version;
   // How long the former owner, and deputies of its, may have gone on answering check-ins.
   Duration formerAnswers{0};
 };
@@ -27,8 +27,8 @@
 class Membership {
  public:
   struct Outlet {
-    std::function<void(const Standing&)> standing;
-    std::function<void(const Taken&)> taken;
+    std::function<void(const LeaseValidity&)> leaseValidity;
+    std::function<void(const ShareTakeover&)> takenOver;
     std::function<void(ShareNo)> lost;
     std::function<void(bool)> leading;
     std::function<void(ShareNo, NodeId)> handBack;  // asks the share's actor to let go
@@ -38,10 +38,10 @@
   void start();
   // The directory changed under share/ or node/.
   void changed();
-  Standing standing() const;
+  LeaseValidity leaseValidity() const;
   const std::map<ShareNo, Epoch>& owned() const { return owned_; }
   // Gives a share to its home controller; done tells whether it is gone.
-  void give(ShareNo k, Stamp stamp, const NodeId& to, std::function<void(bool)> done);
+  void give(ShareNo k, Version version, const NodeId& to, std::function<void(bool)> done);
   // The share's actor found that it does not own it any more, or that its books are in doubt.
   void abandon(ShareNo k);
 
@@ -54,10 +54,10 @@
   void review();
   void reviewShare(ShareNo k, Time now);
   void reviewLeader(Time now);
-  void draw(const std::string& key, const KnownOwner* former, std::function<void(Epoch, Stamp)> done);
+  void draw(const std::string& key, const KnownOwner* former, std::function<void(Epoch, Version)> done);
   void refresh();
   void take(ShareNo k, const KnownOwner* former);
-  void adopt(ShareNo k, Epoch e, Stamp s);
+  void adopt(ShareNo k, Epoch e, Version s);
   bool mine(const KnownOwner& o) const { return o.record.owner == settings_.node; }
   // How many living controllers come before us in line for a share.
   unsigned rankFor(ShareNo k) const;
@@ -70,10 +70,10 @@
   Outlet out_;
   std::optional<std::uint64_t> hold_;
   bool joined_ = false;  // our node/ key hangs on the hold
-  Stamp joinStamp_;
+  Version joinVersion_;
   bool opening_ = false;
   bool silent_ = false;
-  Standing own_;
+  LeaseValidity own_;
   std::map<ShareNo, Epoch> owned_;
   std::map<ShareNo, Epoch> used_;  // epochs this process has acted under
   std::map<ShareNo, Time> orphanSince_;
--- a/src/actors/mirror.cpp
+++ b/src/actors/mirror.cpp
@@ -92,21 +92,21 @@
 
 // Whether a key that has a value is new in it.
 bool Mirror::take(const wire::KeyChange& change) {
-  auto& stamp = known_[change.key];
-  if (change.stamp <= stamp) return false;
-  stamp = change.stamp;
+  auto& version = known_[change.key];
+  if (change.version <= version) return false;
+  version = change.version;
   return true;
 }
 
 void Mirror::apply(Time asked, const wire::KeyPage& news) {
   for (const auto& change : news.entries) {
     // Answers overtake each other: what an earlier one covered is in view, and may be gone again since.
-    if (change.stamp <= revision_) continue;
+    if (change.version <= revision_) continue;
     if (change.value) {
       if (!take(change)) continue;
     } else {
       auto it = known_.find(change.key);
-      if (it == known_.end() || it->second > change.stamp) continue;
+      if (it == known_.end() || it->second > change.version) continue;
       known_.erase(it);
     }
     changed_(change);
--- a/src/actors/mirror.h
+++ b/src/actors/mirror.h
@@ -29,7 +29,7 @@
   // All that was committed before that moment is in view.
   Time freshAt() const { return freshAt_; }
   // Every change up to it is in view.
-  Stamp revision() const { return revision_; }
+  Version revision() const { return revision_; }
 
  private:
   void readAll();
@@ -47,8 +47,8 @@
   std::mt19937_64& rng_;
   std::string prefix_;
   Changed changed_;
-  std::map<std::string, Stamp> known_;
-  Stamp revision_;
+  std::map<std::string, Version> known_;
+  Version revision_;
   Time freshAt_{};  // when the latest request that was answered was made
   bool read_ = false;
   std::uint64_t round_ = 0;  // answers of earlier rounds are stale
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -19,12 +19,12 @@
       store_(settings, io, log, rng_()),
       peers_(settings, io,
              {[this](std::uint32_t from, const mesh::Payload& p) { received(from, p); },
-              [this] { return pulse(); }}),
+              [this] { return heartbeat(); }}),
       membership_(settings, io, log, store_, dir_,
-                  {[this](const Standing& s) {
-                     for (auto& [_, x] : schedulers_) x->standing(s);
+                  {[this](const LeaseValidity& s) {
+                     for (auto& [_, x] : schedulers_) x->leaseValidity(s);
                    },
-                   [this](const Taken& t) { taken(t); }, [this](ShareNo k) { lost(k); },
+                   [this](const ShareTakeover& t) { takenOver(t); }, [this](ShareNo k) { lost(k); },
                    [this](bool leads) { fleet_.leading(leads); },
                    [this](ShareNo k, NodeId to) {
                      if (auto* s = scheduler(k)) s->handBack(to);
@@ -50,10 +50,10 @@
   account();
 }
 
-mesh::Pulse Node::pulse() const {
-  mesh::Pulse p;
+mesh::Heartbeat Node::heartbeat() const {
+  mesh::Heartbeat p;
   p.serving = serving();
-  p.ownsForMs = std::max((membership_.standing().ownsUntil - io_.now()).count(), std::int64_t{0});
+  p.ownsForMs = std::max((membership_.leaseValidity().ownsUntil - io_.now()).count(), std::int64_t{0});
   // A share that is not loaded lends nothing: what its former owner cancelled is not known yet.
   for (const auto& [k, epoch] : membership_.owned())
     if (auto s = schedulers_.find(k); s != schedulers_.end() && s->second->loaded())
@@ -118,27 +118,28 @@
   return mine / all;
 }
 
-void Node::taken(const Taken& t) {
-  Scheduler::Outlet out{[this](const JobId& id, JobStatus s, Stamp stamp) { jobEnded(id, s, stamp); },
-                        [this](const mesh::ShareLoad& l) { sendLoad(l); },
-                        // A turn of its own: the actor asks for its own end.
-                        [this, k = t.share] {
-                          io_.after(Duration{0}, [this, k] {
-                            membership_.abandon(k);
-                            lost(k);
-                          });
-                        },
-                        [this](const std::string& address, std::function<void(const std::string&)> done) {
-                          probe(address, std::move(done));
-                        },
-                        [this, k = t.share](Stamp stamp, const NodeId& to, std::function<void(bool)> done) {
-                          membership_.give(k, stamp, to, std::move(done));
-                        },
-                        [this] { return peers_.answeredElsewhere(); },
-                        [this](const mesh::RoomWanted& w) { wantRoom(w); },
-                        [this](const mesh::RoomOffer& o) { offerRoom(o); }};
+void Node::takenOver(const ShareTakeover& t) {
+  Scheduler::Outlet out{
+      [this](const JobId& id, JobStatus s, Version version) { jobEnded(id, s, version); },
+      [this](const mesh::ShareLoad& l) { sendLoad(l); },
+      // A turn of its own: the actor asks for its own end.
+      [this, k = t.share] {
+        io_.after(Duration{0}, [this, k] {
+          membership_.abandon(k);
+          lost(k);
+        });
+      },
+      [this](const std::string& address, std::function<void(const std::string&)> done) {
+        probe(address, std::move(done));
+      },
+      [this, k = t.share](Version version, const NodeId& to, std::function<void(bool)> done) {
+        membership_.give(k, version, to, std::move(done));
+      },
+      [this] { return peers_.answeredElsewhere(); }, [this](const mesh::RoomWanted& w) { wantRoom(w); },
+      [this](const mesh::RoomOffer& o) { offerRoom(o); }};
   auto& s = schedulers_[t.share];
-  s = std::make_unique<Scheduler>(settings_, io_, log_, store_, dir_, t, membership_.standing(), rng_(), out);
+  s = std::make_unique<Scheduler>(settings_, io_, log_, store_, dir_, t, membership_.leaseValidity(), rng_(),
+                                  out);
   s->start();
 }
 
@@ -163,10 +164,10 @@
 
 void Node::lost(ShareNo k) { schedulers_.erase(k); }
 
-void Node::jobEnded(const JobId& id, JobStatus s, Stamp stamp) {
-  dir_.ended(id, s, stamp);
+void Node::jobEnded(const JobId& id, JobStatus s, Version version) {
+  dir_.ended(id, s, version);
   // Whoever answers workers or users should know before the user does; no bound hangs on it.
-  peers_.sendAll(mesh::JobEnded{id.value, s == JobStatus::Done, stamp.value});
+  peers_.sendAll(mesh::JobEnded{id.value, s == JobStatus::Done, version.value});
 }
 
 void Node::sendLoad(const mesh::ShareLoad& l) {
@@ -224,7 +225,7 @@
   } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
     fleet_.load(*load);
   } else if (const auto* over = std::get_if<mesh::JobEnded>(&p)) {
-    dir_.ended(JobId{over->job}, over->done ? JobStatus::Done : JobStatus::Aborted, Stamp{over->stamp});
+    dir_.ended(JobId{over->job}, over->done ? JobStatus::Done : JobStatus::Aborted, Version{over->version});
   } else if (const auto* w = std::get_if<mesh::HostWish>(&p)) {
     if (auto* s = scheduler(ShareNo{w->share})) s->wish(*w);
   } else if (const auto* wanted = std::get_if<mesh::RoomWanted>(&p)) {
@@ -270,15 +271,15 @@
 }
 
 void Node::jobs(const HttpRequest& r, Responder done) {
-  static const std::string kWithdraw = "/withdraw";
+  static const std::string kCancelPath = "/withdraw";
   auto id = r.target.substr(9, r.target.find('?') - 9);
-  bool withdraw = id.size() > kWithdraw.size() && id.ends_with(kWithdraw);
-  if (withdraw) id.resize(id.size() - kWithdraw.size());
-  if (r.method != (withdraw ? "POST" : "GET")) return done(wire::userError(405, "method not allowed"));
+  bool cancel = id.size() > kCancelPath.size() && id.ends_with(kCancelPath);
+  if (cancel) id.resize(id.size() - kCancelPath.size());
+  if (r.method != (cancel ? "POST" : "GET")) return done(wire::userError(405, "method not allowed"));
   if (!wire::isJobId(id)) return done(wire::userError(404, "no such job"));
   if (!store_.mirrored()) return done(wire::userUnavailable("starting"));
-  if (withdraw)
-    api_.withdraw(JobId{id}, std::move(done));
+  if (cancel)
+    api_.cancel(JobId{id}, std::move(done));
   else
     api_.poll(JobId{id}, std::move(done));
 }
@@ -334,7 +335,7 @@
 // The worker's token must be that owner's own: whoever came after it has not asked us to stand in.
 bool Node::mayAnswerFor(const NodeId& owner, const wire::Report& r) const {
   auto host = dir_.hosts.find(r.host);
-  if (host == dir_.hosts.end() || !membership_.standing().answers(io_.now())) return false;
+  if (host == dir_.hosts.end() || !membership_.leaseValidity().answers(io_.now())) return false;
   auto share = dir_.shares.find(host->second.record.share);
   if (share == dir_.shares.end() || share->second.record.owner != owner) return false;
   auto epoch = share->second.record.epoch;
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -23,18 +23,18 @@
 
  private:
   void account();
-  bool owns() const { return membership_.standing().owns(io_.now()); }
-  mesh::Pulse pulse() const;
+  bool owns() const { return membership_.leaseValidity().owns(io_.now()); }
+  mesh::Heartbeat heartbeat() const;
   bool mayAnswerFor(const NodeId& owner, const wire::Report& r) const;
   HttpResponse answerFor(const NodeId& owner, const wire::Report& r);
   double partOfLimits() const;
   void changed(const wire::KeyChange& c);
   void received(std::uint32_t from, const mesh::Payload& p);
-  void taken(const Taken& t);
+  void takenOver(const ShareTakeover& t);
   void lost(ShareNo k);
   void showOf(const std::string& address, HttpDone done);
   void probe(const std::string& address, std::function<void(const std::string& body)> done);
-  void jobEnded(const JobId& id, JobStatus s, Stamp stamp);
+  void jobEnded(const JobId& id, JobStatus s, Version version);
   void sendLoad(const mesh::ShareLoad& l);
   void wish(const mesh::HostWish& w);
   void wantRoom(const mesh::RoomWanted& w);
--- a/src/actors/pages.cpp
+++ b/src/actors/pages.cpp
@@ -19,7 +19,7 @@
   // clang 14 can't compile std::views::reverse with libstdc++ 12, which modernize-loop-convert asks for.
   // NOLINTNEXTLINE(modernize-loop-convert)
   for (auto it = pages_.rbegin(); it != pages_.rend(); ++it)
-    if (it->second.live == 0 && it->second.stamp.value > 0 && taken.count(it->first) == 0 && ++empty > keep)
+    if (it->second.live == 0 && it->second.version.value > 0 && taken.count(it->first) == 0 && ++empty > keep)
       return it->first;
   return std::nullopt;
 }
--- a/src/actors/pages.h
+++ b/src/actors/pages.h
@@ -18,7 +18,7 @@
 class Pages {
  public:
   struct Page {
-    Stamp stamp;                  // 0: not written yet
+    Version version;              // 0: not written yet
     std::vector<TaskId> members;  // whose state it held when last written
     std::size_t live = 0;         // of those, whose latest state it still is
   };
--- a/src/actors/peers.cpp
+++ b/src/actors/peers.cpp
@@ -4,7 +4,7 @@
 
 namespace cherryloft {
 namespace {
-constexpr Duration kBeat{400};
+constexpr Duration kHeartbeatInterval{400};
 constexpr Duration kHeard{1'700};
 constexpr Duration kRemesh{2'500};
 }  // namespace
@@ -21,7 +21,7 @@
   askCount_ = life_ << 20;
 }
 
-void Peers::start() { beat(); }
+void Peers::start() { sendHeartbeats(); }
 
 bool Peers::hears(std::uint32_t n) const {
   const auto& x = neighbours_[n];
@@ -36,18 +36,18 @@
 
 bool Peers::someoneHasStore() const {
   for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
-    if (n != self_ && hears(n) && neighbours_[n].pulse.ownsForMs > 0) return true;
+    if (n != self_ && hears(n) && neighbours_[n].heartbeat.ownsForMs > 0) return true;
   return false;
 }
 
-void Peers::beat() {
-  io_.after(kBeat, [this] { beat(); });
+void Peers::sendHeartbeats() {
+  io_.after(kHeartbeatInterval, [this] { sendHeartbeats(); });
   auto now = io_.now();
-  auto pulse = out_.pulse();
-  pulse.life = life_;
-  pulse.hears = 0;
+  auto heartbeat = out_.heartbeat();
+  heartbeat.life = life_;
+  heartbeat.hears = 0;
   for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
-    if (n != self_ && hears(n)) pulse.hears |= 1U << n;
+    if (n != self_ && hears(n)) heartbeat.hears |= 1U << n;
   for (std::uint32_t n = 0; n < neighbours_.size(); ++n) {
     if (n == self_) continue;
     // What lies in a held connection would arrive late and in the way of what is new.
@@ -55,20 +55,20 @@
       neighbours_[n].remeshed = now;
       io_.remesh(n);
     }
-    neighbours_[n].link.fill(pulse, hears(n), now);
-    io_.mesh(n, {self_, n, pulse});
+    neighbours_[n].link.fill(heartbeat, hears(n), now);
+    io_.mesh(n, {self_, n, heartbeat});
   }
 }
 
 std::optional<std::uint32_t> Peers::via(std::uint32_t to) const {
   for (std::uint32_t n = 0; n < neighbours_.size(); ++n)
-    if (n != self_ && n != to && hears(n) && (neighbours_[n].pulse.hears >> to & 1U)) return n;
+    if (n != self_ && n != to && hears(n) && (neighbours_[n].heartbeat.hears >> to & 1U)) return n;
   return std::nullopt;
 }
 
 bool Peers::reaches(std::uint32_t n) const { return hears(n) || via(n); }
 
-bool Peers::deputyFor(std::uint32_t n, ShareNo share, Epoch epoch, Stamp seen) const {
+bool Peers::deputyFor(std::uint32_t n, ShareNo share, Epoch epoch, Version seen) const {
   return neighbours_[n].link.mayAnswer(share, epoch, seen, hears(n), io_.now());
 }
 
@@ -112,11 +112,11 @@
 void Peers::frame(const mesh::Frame& f) {
   if (f.from >= neighbours_.size() || f.to >= neighbours_.size() || f.from == self_) return;
   if (f.to != self_) return io_.mesh(f.to, f);  // the one hop; the next stop is the last
-  if (const auto* pulse = std::get_if<mesh::Pulse>(&f.payload)) {
+  if (const auto* heartbeat = std::get_if<mesh::Heartbeat>(&f.payload)) {
     auto& n = neighbours_[f.from];
-    if (!n.link.came(*pulse, io_.now())) return;  // held back, and passed by a later one
+    if (!n.link.came(*heartbeat, io_.now())) return;  // held back, and passed by a later one
     n.heard = io_.now();
-    n.pulse = *pulse;
+    n.heartbeat = *heartbeat;
   } else if (const auto* answer = std::get_if<mesh::Answer>(&f.payload)) {
     auto it = asks_.find(answer->id);
     if (it == asks_.end()) return;
--- a/src/actors/peers.h
+++ b/src/actors/peers.h
@@ -1,4 +1,4 @@
-// Peers: pulses between controllers, asks with deadlines, and one hop around a cut link.
+// Peers: heartbeats between controllers, asks with deadlines, and one hop around a cut link.
 #pragma once
 
 #include <map>
@@ -13,9 +13,9 @@
 class Peers {
  public:
   struct Outlet {
-    // Something that is neither a pulse nor an answer came, from that controller.
+    // Something that is neither a heartbeat nor an answer came, from that controller.
     std::function<void(std::uint32_t from, const mesh::Payload&)> received;
-    std::function<mesh::Pulse()> pulse;  // what to say of ourselves; the rest is filled in here
+    std::function<mesh::Heartbeat()> heartbeat;  // what to say of ourselves; the rest is filled in here
   };
   using Answered = std::function<void(const mesh::Answer*)>;  // null: none in time
 
@@ -41,7 +41,7 @@
   bool reaches(const NodeId& n) const { return reaches(numberOf(n)); }
   // Whether a worker of a share of that sibling's, with a token of that epoch, may be answered in its name,
   // when we know of all jobs what was committed up to `seen`.
-  bool deputyFor(std::uint32_t n, ShareNo share, Epoch epoch, Stamp seen) const;
+  bool deputyFor(std::uint32_t n, ShareNo share, Epoch epoch, Version seen) const;
   void answeredFor(std::uint32_t n) { neighbours_[n].link.answered(io_.now()); }
   // The latest moment at which any sibling may have answered a worker in our name.
   Time answeredElsewhere() const;
@@ -51,13 +51,13 @@
  private:
   struct Neighbour {
     Time heard{};
-    mesh::Pulse pulse;
+    mesh::Heartbeat heartbeat;
     Time remeshed{};
     DeputyLink link;
   };
   std::optional<std::uint32_t> via(std::uint32_t to) const;
   std::uint64_t expect(Duration deadline, Answered done);
-  void beat();
+  void sendHeartbeats();
 
   const Settings& settings_;
   Io& io_;
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -23,14 +23,14 @@
 }  // namespace
 
 Scheduler::Scheduler(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir,
-                     Taken taken, Standing standing, std::uint64_t seed, Outlet out)
+                     ShareTakeover takeover, LeaseValidity leaseValidity, std::uint64_t seed, Outlet out)
     : settings_(settings),
       io_(io),
       log_(std::move(log)),
       store_(store),
       dir_(dir),
-      taken_(taken),
-      standing_(standing),
+      takeover_(takeover),
+      leaseValidity_(leaseValidity),
       rng_(seed),
       out_(std::move(out)),
       books_(settings),
@@ -45,7 +45,7 @@
 
 void Scheduler::load() {
   // All that was committed before the takeover must be in view; what a former owner sends later fails on
-  // the share's stamp. What was seen once stays in view, so each step is repeated by itself.
+  // the share's version. What was seen once stays in view, so each step is repeated by itself.
   viewed(keys::kJobs, [this] { viewed(keys::kHosts, [this] { loadRuns(); }); });
 }
 
@@ -58,7 +58,7 @@
 }
 
 void Scheduler::loadRuns() {
-  store_.list(Urgency::Control, keys::runs(taken_.share), guarded([this](ListResult r) {
+  store_.list(Urgency::Control, keys::runs(takeover_.share), guarded([this](ListResult r) {
                 if (r.ok) return build(r);
                 io_.after(kLoadRetry, guarded([this] { loadRuns(); }));
               }));
@@ -67,13 +67,13 @@
 void Scheduler::build(const ListResult& runs) {
   auto now = io_.now();
   for (const auto& [id, known] : dir_.hosts)
-    if (known.record.share == taken_.share) admit(id, known);
+    if (known.record.share == takeover_.share) admit(id, known);
   for (const auto& [id, known] : dir_.jobs)
-    if (known.share == taken_.share && known.status == JobStatus::Open && known.spec)
+    if (known.share == takeover_.share && known.status == JobStatus::Open && known.spec)
       books_.addJob(id, known).since = now;
-    else if (known.share == taken_.share && known.status == JobStatus::Aborted)
-      lastAborted_ = std::max(lastAborted_, known.stamp);
-  auto prefix = keys::runs(taken_.share);
+    else if (known.share == takeover_.share && known.status == JobStatus::Aborted)
+      lastAborted_ = std::max(lastAborted_, known.version);
+  auto prefix = keys::runs(takeover_.share);
   std::map<TaskId, Restored> placed;
   for (const auto& e : runs.entries) {
     auto n = parsePageKey(e.key, prefix);
@@ -82,7 +82,7 @@
       log_->error("unreadable key {}, perhaps of another layout", e.key);
       continue;
     }
-    books_.pages().at(*n).stamp = e.stamp;
+    books_.pages().at(*n).version = e.version;
     restoreDone(*page, *n, placed);
   }
   for (const auto& [task, r] : placed) restorePlaced(task, r);
@@ -99,7 +99,7 @@
   for (const auto& id : over) cleanUp(*books_.job(id));
   countAllElsewhere();
   loaded_ = true;
-  log_->info("share {} loaded: {} jobs, {} machines, {} ms", taken_.share.value, books_.jobs().size(),
+  log_->info("share {} loaded: {} jobs, {} machines, {} ms", takeover_.share.value, books_.jobs().size(),
              books_.hosts().size(), (now - loadStarted_).count());
   tick();
   wake(true);
@@ -144,28 +144,29 @@
 Host& Scheduler::admit(const HostId& id, const KnownHost& known) {
   auto now = io_.now();
   auto& h = books_.addHost(id, known, findType(dir_.catalog, known.record.type), now);
-  h.hint = Tenure{1};
-  h.base = tokenOf(std::max(known.record.token, taken_.epoch));
+  h.hint = WorkerSession{1};
+  h.base = tokenOf(std::max(known.record.token, takeover_.epoch));
   // The former owner may have answered it until the end of its grace.
-  h.aliveUntil = now + taken_.formerAnswers + leaseAfterAnswer();
+  h.aliveUntil = now + takeover_.formerAnswers + leaseAfterAnswer();
   return h;
 }
 
 // --- messages ---
 
-void Scheduler::standing(const Standing& s) {
+void Scheduler::leaseValidity(const LeaseValidity& s) {
   bool back = !owns() && s.owns(io_.now());
-  standing_ = s;
+  leaseValidity_ = s;
   if (back && loaded_) wake(true);
 }
 
 void Scheduler::jobChanged(const JobId& id) {
   if (!loaded_) return;
   auto known = dir_.jobs.find(id);
-  if (known == dir_.jobs.end() || known->second.share != taken_.share) return;
+  if (known == dir_.jobs.end() || known->second.share != takeover_.share) return;
   // Our own commit may show here before its answer comes, and deputies must have seen it as well (invariant
   // 15).
-  if (known->second.status == JobStatus::Aborted) lastAborted_ = std::max(lastAborted_, known->second.stamp);
+  if (known->second.status == JobStatus::Aborted)
+    lastAborted_ = std::max(lastAborted_, known->second.version);
   if (books_.job(id)) return;
   const auto& k = known->second;
   if (k.status != JobStatus::Open || !k.spec) return;
@@ -181,7 +182,7 @@
 void Scheduler::hostChanged(const HostId& id) {
   if (!loaded_) return;
   auto known = dir_.hosts.find(id);
-  bool ours = known != dir_.hosts.end() && known->second.record.share == taken_.share;
+  bool ours = known != dir_.hosts.end() && known->second.record.share == takeover_.share;
   Host* h = books_.host(id);
   if (!ours) {
     if (h) dropHost(id);
@@ -191,9 +192,9 @@
     direct(admit(id, known->second));
     return;
   }
-  if (h->known.stamp >= known->second.stamp) return;
+  if (h->known.version >= known->second.version) return;
   h->known = known->second;
-  auto base = tokenOf(std::max(h->known.record.token, taken_.epoch));
+  auto base = tokenOf(std::max(h->known.record.token, takeover_.epoch));
   if (base > h->base) h->base = base, h->raises = 0;
   books_.reindex(*h);
 }
@@ -228,14 +229,14 @@
   return wire::JobView{JobStatus::Open, static_cast<std::uint32_t>(j.tasks.size()), j.done, j.running};
 }
 
-bool Scheduler::withdraw(const JobId& id, std::function<void(JobStatus)> done) {
+bool Scheduler::cancel(const JobId& id, std::function<void(JobStatus)> done) {
   Job* j = books_.job(id);
   if (!loaded_ || !owns() || !j) return false;
   if (j->status != JobStatus::Open) {
     done(j->status);
     return true;
   }
-  j->withdrawers.push_back(std::move(done));
+  j->cancelWaiters.push_back(std::move(done));
   if (j->done < j->tasks.size()) j->abortAsked = true;
   ending_.insert(id);
   wake(false);
@@ -283,7 +284,7 @@
 bool Scheduler::stoodStill(Time now) {
   bool still = ticked_ != Time{} && now - ticked_ > kStandstill;
   if (still) {
-    log_->info("share {}: stood still for {} ms", taken_.share.value, (now - ticked_).count());
+    log_->info("share {}: stood still for {} ms", takeover_.share.value, (now - ticked_).count());
     resumed_ = now;
     for (auto& [_, h] : books_.hosts()) h.askedInVain = 0;
   }
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -20,12 +20,12 @@
 class Scheduler {
  public:
   struct Outlet {
-    std::function<void(const JobId&, JobStatus, Stamp)> ended;  // committed as done or aborted
-    std::function<void(const mesh::ShareLoad&)> load;           // to the leader
-    std::function<void()> abandon;                              // our ownership or our books are in doubt
+    std::function<void(const JobId&, JobStatus, Version)> ended;  // committed as done or aborted
+    std::function<void(const mesh::ShareLoad&)> load;             // to the leader
+    std::function<void()> abandon;                                // our ownership or our books are in doubt
     // Through siblings; done is told a machine's report if one of them reaches it.
     std::function<void(const std::string& address, std::function<void(const std::string& body)> done)> probe;
-    std::function<void(Stamp, const NodeId&, std::function<void(bool)>)> give;
+    std::function<void(Version, const NodeId&, std::function<void(bool)>)> give;
     // The latest moment at which a sibling may have answered our workers in our name (invariant 15).
     std::function<Time()> answeredElsewhere;
     std::function<void(const mesh::RoomWanted&)> wantRoom;  // to the owners of all other shares
@@ -37,13 +37,13 @@
   };
   using CheckInDone = std::function<void(CheckInAnswer)>;
 
-  Scheduler(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir, Taken taken,
-            Standing standing, std::uint64_t seed, Outlet out);
+  Scheduler(const Settings& settings, Io& io, Log log, StateStore& store, const Directory& dir,
+            ShareTakeover takeover, LeaseValidity leaseValidity, std::uint64_t seed, Outlet out);
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
   void start();
-  void standing(const Standing& s);
+  void leaseValidity(const LeaseValidity& s);
   void jobChanged(const JobId& id);
   void hostChanged(const HostId& id);
   CheckInAnswer checkIn(const wire::Report& r);
@@ -55,11 +55,11 @@
   // Nothing if this actor may not answer now.
   std::optional<wire::JobView> poll(const JobId& id) const;
   // done is told the committed state; false if this actor can't take the request.
-  bool withdraw(const JobId& id, std::function<void(JobStatus)> done);
+  bool cancel(const JobId& id, std::function<void(JobStatus)> done);
   bool loaded() const { return loaded_; }
-  ShareNo share() const { return taken_.share; }
+  ShareNo share() const { return takeover_.share; }
   // The revision of the share's latest cancellation.
-  Stamp lastAborted() const { return lastAborted_; }
+  Version lastAborted() const { return lastAborted_; }
   // What was decided since the last call, for operators.
   std::string account();
   const Counts& counts() const { return spans_.counts; }
@@ -72,7 +72,7 @@
       if (alive.lock()) f(std::forward<decltype(args)>(args)...);
     };
   }
-  bool owns() const { return standing_.owns(io_.now()); }
+  bool owns() const { return leaseValidity_.owns(io_.now()); }
 
   // Loading (invariant 7).
   void load();
@@ -97,7 +97,7 @@
   Duration silence(const Host& h) const;
   bool late(const Host& h) const;
   void reborn(Host& h, const wire::Report& r);
-  void newTenure(Host& h);
+  void newSession(Host& h);
   void lose(Host& h, const TaskId& task);
   void ended(Host& h, const wire::ReportedTask& t);
   void giveUpFaulty(const JobId& job);
@@ -110,9 +110,9 @@
   // What a direct command went out with.
   struct Sent {
     Token token;
-    Tenure tenure;
-    std::pair<Tenure, Serial> known;  // the latest that the machine had said
-    bool ask = false;                 // it carried no orders
+    WorkerSession session;
+    std::pair<WorkerSession, Serial> known;  // the latest that the machine had said
+    bool ask = false;                        // it carried no orders
   };
   void askThroughSiblings(Host& h);
   void directed(const HostId& id, const Sent& sent, const HttpResult& r);
@@ -214,15 +214,15 @@
   std::size_t roundWidth() const;
   void cleanUp(Job& job);
   bool fits(const wire::Transaction& t, std::size_t weight, const wire::Write& w) const;
-  void answerWithdrawers(Job& job, JobStatus s);
+  void answerCancelWaiters(Job& job, JobStatus s);
 
   const Settings& settings_;
   Io& io_;
   Log log_;
   StateStore& store_;
   const Directory& dir_;
-  Taken taken_;
-  Standing standing_;
+  ShareTakeover takeover_;
+  LeaseValidity leaseValidity_;
   std::mt19937_64 rng_;
   Outlet out_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -231,7 +231,7 @@
   FailureHistory failures_;
   Time failuresReviewed_{};
   bool loaded_ = false;
-  Stamp lastAborted_;
+  Version lastAborted_;
   Time loadStarted_{};
   std::uint64_t attempts_ = 0;
   std::optional<NodeId> givingTo_;
@@ -297,7 +297,7 @@
   // A cancelled job of another share's team of which nothing is on any machine; its record is to say so.
   struct Left {
     JobId job;
-    Stamp stamp;
+    Version version;
     wire::JobRecord record;
   };
   std::vector<Left> left_;
--- a/src/actors/scheduler_commands.cpp
+++ b/src/actors/scheduler_commands.cpp
@@ -106,8 +106,8 @@
   h.directAgain = false;
   asking_ += ask;
   ++commanding_;
-  Sent sent{h.token(), h.heard ? h.tenure : h.hint, std::pair(h.tenure, h.serial), ask};
-  io_.call(to, {"POST", "/commands", wire::encodeCommands(sent.token, sent.tenure, list), false},
+  Sent sent{h.token(), h.heard ? h.session : h.hint, std::pair(h.session, h.serial), ask};
+  io_.call(to, {"POST", "/commands", wire::encodeCommands(sent.token, sent.session, list), false},
            kDirectDeadline, guarded([this, id = h.id, sent](HttpResult r) { directed(id, sent, r); }));
 }
 
@@ -122,13 +122,13 @@
   if (report && report->host == id) {
     if (report->token > h->token()) return;  // superseded; its check-ins will say so
     h->askedInVain = 0;
-    bool older = std::pair(report->tenure, report->serial) <= sent.known;
-    if (older || report->tenure <= h->expiredTenure) reborn(*h, *report);
+    bool older = std::pair(report->session, report->serial) <= sent.known;
+    if (older || report->session <= h->expiredSession) reborn(*h, *report);
     apply(*h, *report, false);
     h = books_.host(id);
     if (!h) return;
-    // The first command could not know the tenure.
-    bool missed = report->tenure != sent.tenure;
+    // The first command could not know the session.
+    bool missed = report->session != sent.session;
     if (missed || h->directAgain) direct(*h);
     return;
   }
@@ -153,12 +153,12 @@
 
 // Perhaps only we can't reach it: then its check-ins are relayed, and it is not to be given up.
 void Scheduler::askThroughSiblings(Host& h) {
-  Sent sent{h.token(), h.tenure, std::pair(h.tenure, h.serial), false};
+  Sent sent{h.token(), h.session, std::pair(h.session, h.serial), false};
   out_.probe(h.address, guarded([this, id = h.id, sent](const std::string& body) {
                auto report = wire::parseReport(body);
                Host* h = books_.host(id);
                if (!h || !report || report->host != id || report->token > h->token()) return;
-               if (std::pair(report->tenure, report->serial) > sent.known) apply(*h, *report, false);
+               if (std::pair(report->session, report->serial) > sent.known) apply(*h, *report, false);
              }));
 }
 
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -22,7 +22,7 @@
     }
     bool done = job->done == job->tasks.size();
     wire::JobRecord record{done ? JobStatus::Done : JobStatus::Aborted,
-                           taken_.share,
+                           takeover_.share,
                            static_cast<std::uint32_t>(job->tasks.size()),
                            job->submitted,
                            {}};
@@ -31,7 +31,7 @@
     wire::Write w{keys::job(*it), wire::encodeJobRecord(record), {}};
     if (!fits(t, weight, w)) return;
     weight += wire::weightOf(w);
-    t.when[w.key] = job->stamp;
+    t.when[w.key] = job->version;
     t.apply.push_back(std::move(w));
     flight_->ended.emplace_back(*it, record.status);
     it = ending_.erase(it);
@@ -51,9 +51,9 @@
          (t.apply.empty() || weight + settings_.valueBytes + kKeyWeight <= kMostWeight)) {
     auto d = books_.draft(fresh_, taken);
     if (!d) continue;
-    wire::Write w{keys::page(taken_.share, d->number), wire::encodePage(d->record), {}};
+    wire::Write w{keys::page(takeover_.share, d->number), wire::encodePage(d->record), {}};
     weight += wire::weightOf(w);
-    t.when[w.key] = books_.pages().at(d->number).stamp;
+    t.when[w.key] = books_.pages().at(d->number).version;
     t.apply.push_back(std::move(w));
     flight_->pages.push_back(d->number);
     for (const auto& [job, facts] : d->record.jobs) {
@@ -76,7 +76,7 @@
     startsFresh_ = false;
     flight_.emplace();
     auto& t = flight_->txn;
-    t.when[keys::share(taken_.share)] = taken_.stamp;
+    t.when[keys::share(takeover_.share)] = takeover_.version;
     std::size_t weight = 0;
     addTerminal(t, weight);
     addTransfers(t, weight);
@@ -88,8 +88,8 @@
     auto& pages = books_.pages();
     if (auto n = pages.spare({flight_->pages.begin(), flight_->pages.end()});
         n && !t.apply.empty() && t.apply.size() < settings_.txnOps) {
-      wire::Write w{keys::page(taken_.share, *n), std::nullopt, {}};
-      t.when[w.key] = pages.at(*n).stamp;
+      wire::Write w{keys::page(takeover_.share, *n), std::nullopt, {}};
+      t.when[w.key] = pages.at(*n).version;
       t.apply.push_back(std::move(w));
       flight_->dropped.push_back(*n);
     }
@@ -98,7 +98,7 @@
       if (givingTo_ && !gaveUpShare_) {
         // Nothing is on its way: let go. From here on this actor decides nothing.
         gaveUpShare_ = true;
-        out_.give(taken_.stamp, *givingTo_, guarded([this](bool given) {
+        out_.give(takeover_.version, *givingTo_, guarded([this](bool given) {
                     gaveUpShare_ = false;
                     givingTo_.reset();
                     if (given)
@@ -138,7 +138,8 @@
       return;
     case O::Conflict:
     case O::NoHold:
-      log_->info("share {}: conflict on {}", taken_.share.value, r.failed.empty() ? "?" : r.failed.front());
+      log_->info("share {}: conflict on {}", takeover_.share.value,
+                 r.failed.empty() ? "?" : r.failed.front());
       return out_.abandon();
   }
 }
@@ -146,7 +147,7 @@
 void Scheduler::takeEffect(const TxnResult& r) {
   auto f = std::move(*flight_);
   flight_.reset();
-  for (auto n : f.pages) books_.pages().at(n).stamp = r.revision;
+  for (auto n : f.pages) books_.pages().at(n).version = r.revision;
   for (auto n : f.dropped) books_.pages().drop(n);
   for (const auto& id : f.done)
     if (Job* j = books_.job(id.job)) {
@@ -174,10 +175,10 @@
   for (const auto& [id, status] : f.ended) {
     Job* j = books_.job(id);
     j->status = status;
-    j->stamp = r.revision;
+    j->version = r.revision;
     log_->info("job {} {}", id.value, status == JobStatus::Done ? "done" : "aborted");
     out_.ended(id, status, r.revision);
-    answerWithdrawers(*j, status);
+    answerCancelWaiters(*j, status);
     if (status == JobStatus::Aborted) {
       lastAborted_ = std::max(lastAborted_, r.revision);
       j->waiting.clear();
@@ -198,9 +199,9 @@
   wake(false);
 }
 
-void Scheduler::answerWithdrawers(Job& job, JobStatus s) {
-  auto waiting = std::move(job.withdrawers);
-  job.withdrawers.clear();
+void Scheduler::answerCancelWaiters(Job& job, JobStatus s) {
+  auto waiting = std::move(job.cancelWaiters);
+  job.cancelWaiters.clear();
   for (auto& w : waiting) w(s);
 }
 
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -17,7 +17,7 @@
 
 Scheduler::CheckInAnswer Scheduler::checkIn(const wire::Report& r) {
   auto now = io_.now();
-  if (!standing_.answers(now)) return {503, R"({"error":"not entitled"})"};
+  if (!leaseValidity_.answers(now)) return {503, R"({"error":"not entitled"})"};
   if (!loaded_) {
     // Its lease must not run out while we load; build() counts the time from its own, later, moment. What the
     // former owner cancelled may be unknown to us, for so long only (invariant 16).
@@ -25,7 +25,7 @@
       return {503, R"({"error":"the share is not loaded"})"};
     auto known = dir_.hosts.find(r.host);
     if (known == dir_.hosts.end()) return {503, R"({"error":"unknown machine"})"};
-    auto base = tokenOf(std::max(known->second.record.token, taken_.epoch));
+    auto base = tokenOf(std::max(known->second.record.token, takeover_.epoch));
     if (r.token > base) return {421, "{}"};
     return {200, wire::encodeOrders(base, dir_.endsOfAborted(r))};
   }
@@ -56,8 +56,8 @@
   bool trusted = r.token >= h.base;
   if (!h.heard && !trusted) {
     // It may be a copy from any time before: nothing in it is the present but that what is done is done
-    // (invariant 12). The tenure it names is tried in commands.
-    if (r.tenure > h.expiredTenure) h.hint = std::max(h.hint, r.tenure);
+    // (invariant 12). The session it names is tried in commands.
+    if (r.session > h.expiredSession) h.hint = std::max(h.hint, r.session);
     if (h.address.empty()) h.address = r.address;
     for (const auto& t : r.tasks)
       if (t.phase == TaskPhase::Exited && t.cause == ExitCause::Done) {
@@ -71,15 +71,15 @@
   }
   // Late reports never undo newer knowledge (invariant 4).
   // Nor does one that shows a lower token than the worker has shown: it is a copy of the former worker's.
-  if (std::pair(r.tenure, r.serial) <= std::pair(h.tenure, h.serial) || r.tenure <= h.expiredTenure ||
+  if (std::pair(r.session, r.serial) <= std::pair(h.session, h.serial) || r.session <= h.expiredSession ||
       r.token < h.seen) {
     // Or the machine began anew and counts from one again: its own answer to a question tells.
     if (r.token < h.seen && checkIn) h.directAgain = h.attention = true;
     return false;
   }
-  bool dropped = r.tenure > h.tenure && h.tenure.value > 0;
-  if (dropped) newTenure(h);
-  h.tenure = h.hint = r.tenure;
+  bool dropped = r.session > h.session && h.session.value > 0;
+  if (dropped) newSession(h);
+  h.session = h.hint = r.session;
   h.serial = r.serial;
   h.lastHeard = now;
   // The answer to this report, and to any older one, renews its lease until then at the latest.
@@ -145,10 +145,10 @@
 // starts that were on their way may reach the new one, until it has seen a higher token (invariant 3).
 void Scheduler::reborn(Host& h, const wire::Report& r) {
   log_->info("{} began anew", h.id.value);
-  h.tenure = h.hint = r.tenure;
+  h.session = h.hint = r.session;
   h.serial = Serial{r.serial.value - 1};
   h.seen = r.token;
-  h.expiredTenure = Tenure{};
+  h.expiredSession = WorkerSession{};
   h.reported.clear();
   raiseToken(h);
   for (auto& [_, p] : h.placements) {
@@ -171,8 +171,8 @@
   cleanUp(job);
 }
 
-// The worker killed and forgot everything of the tenures before (invariant 2).
-void Scheduler::newTenure(Host& h) {
+// The worker killed and forgot everything of the sessions before (invariant 2).
+void Scheduler::newSession(Host& h) {
   h.unsettled.reset();
   h.reported.clear();
   std::vector<TaskId> lost;
--- a/src/actors/scheduler_load.cpp
+++ b/src/actors/scheduler_load.cpp
@@ -36,7 +36,7 @@
       "leaving), {} pages; {} starts in {} rounds, widest "
       "{}, "
       "{} machines looked at, {} stopped for others; ms to placed {}; to committed {}; to shown {}",
-      taken_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(), booting, silent,
+      takeover_.share.value, open, waiting, books_.hosts().size(), books_.openHosts().size(), booting, silent,
       doubtful, emptying, leaving, books_.pages().count(), n, std::exchange(spans_.rounds, 0),
       std::exchange(spans_.widest, 0), looked, std::exchange(spans_.evicted, 0), spans_.toPlaced.take(),
       spans_.toCommitted.take(), spans_.toShown.take());
@@ -81,8 +81,8 @@
 void Scheduler::sendLoad() {
   auto now = io_.now();
   mesh::ShareLoad load;
-  load.share = taken_.share.value;
-  load.epoch = taken_.epoch.value;
+  load.share = takeover_.share.value;
+  load.epoch = takeover_.epoch.value;
   for (auto& p : books_.pools()) p.booting = 0;
   for (auto& [_, h] : books_.hosts())
     h.pool->booting +=
--- a/src/actors/scheduler_moves.cpp
+++ b/src/actors/scheduler_moves.cpp
@@ -117,7 +117,7 @@
   recordsMoved_ = moves;
   wire::Transaction t;
   std::size_t weight = 0;
-  t.when[keys::share(taken_.share)] = taken_.stamp;
+  t.when[keys::share(takeover_.share)] = takeover_.version;
   // What we sent under our token must have no effect under the next owner's (invariant 5).
   Epoch token{dir_.epoch.value + 1};
   auto most = store_.unhurried();
@@ -130,7 +130,7 @@
     auto known = dir_.groups.find(key);
     auto group = dir_.group(key);
     if (known == dir_.groups.end() || group.members.empty()) continue;
-    auto stamp = dir_.hosts.at(group.members.front().id).stamp;
+    auto version = dir_.hosts.at(group.members.front().id).version;
     std::set<HostId> back, gone;
     for (const Host* h : c.back) back.insert(h->id);
     for (const auto& [to, hosts] : c.moved) {
@@ -143,7 +143,7 @@
         there.members.push_back({h->id, wire::HostPhase::InUse, h->address});
       }
       auto name = keys::group(hosts.front()->id, token);
-      t.when[name] = Stamp{0};
+      t.when[name] = Version{0};
       t.apply.push_back({name, wire::encodeGroup(there), {}});
     }
     std::erase_if(group.members, [&](const auto& m) { return gone.count(m.id) > 0; });
@@ -151,12 +151,12 @@
       if (back.count(m.id) > 0) m.phase = wire::HostPhase::Returning;
       if (const Host* h = books_.host(m.id); h && !h->address.empty()) m.address = h->address;
     }
-    t.when[key] = stamp;
+    t.when[key] = version;
     wire::Write w{key, std::nullopt, {}};
     if (!group.members.empty()) w.value = wire::encodeGroup(group);
     weight += wire::weightOf(w);
     t.apply.push_back(std::move(w));
-    if (!c.moved.empty() && t.when.emplace(keys::kEpoch, dir_.epochStamp).second)
+    if (!c.moved.empty() && t.when.emplace(keys::kEpoch, dir_.epochVersion).second)
       t.apply.push_back({keys::kEpoch, wire::encodeCounter(token), {}});
   }
   if (t.apply.empty()) return;
@@ -169,7 +169,7 @@
   recordsBusy_ = false;
   // The directory is to show what was written before it is looked at again.
   recordsNotBefore_ = io_.now() + Duration{300};
-  if (std::count(r.failed.begin(), r.failed.end(), keys::share(taken_.share)) > 0) out_.abandon();
+  if (std::count(r.failed.begin(), r.failed.end(), keys::share(takeover_.share)) > 0) out_.abandon();
 }
 
 }  // namespace cherryloft
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -137,7 +137,7 @@
     if (!h) break;
     auto index = job.waiting.front();
     job.waiting.pop_front();
-    auto attempt = attemptOf(taken_.epoch, gang ? attempts_ : ++attempts_);
+    auto attempt = attemptOf(takeover_.epoch, gang ? attempts_ : ++attempts_);
     books_.place(job, index, *h, attempt, io_.now());
     books_.cached(*h, job.spec->image, job.spec->imageGb);
     h->attention = true;
--- a/src/actors/scheduler_silence.cpp
+++ b/src/actors/scheduler_silence.cpp
@@ -30,9 +30,9 @@
 void Scheduler::watchSilence(Host& h, Time now) {
   bool over = now > h.aliveUntil && (h.heard || !h.placements.empty());
   if (over && now > out_.answeredElsewhere() + leaseAfterAnswer()) {
-    // Its lease has run out whatever happened (invariant 2); what it still says of that tenure is old.
+    // Its lease has run out whatever happened (invariant 2); what it still says of that session is old.
     log_->info("{} was silent for its whole lease", h.id.value);
-    h.expiredTenure = h.tenure;
+    h.expiredSession = h.session;
     h.heard = false;
     h.unsettled.reset();
     h.reported.clear();
--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -53,7 +53,7 @@
   std::erase_if(offers_, [&](const auto& o) { return now - o.second.at > kOfferHolds; });
   if (givingTo_ || gaveUpShare_) return;
   mesh::RoomWanted wanted;
-  wanted.share = taken_.share.value;
+  wanted.share = takeover_.share.value;
   for (const Job* job : waitingInVain(now)) {
     if (elsewhere_.count(job->id) > 0) continue;  // its transfer is about to be written
     auto offer = offers_.find(job->id);
@@ -62,7 +62,7 @@
       wanted.jobs.push_back(job->id.value);
       continue;
     }
-    bool ownTeam = settings_.shareOfTeam(job->spec->team) == taken_.share;
+    bool ownTeam = settings_.shareOfTeam(job->spec->team) == takeover_.share;
     if (ownTeam) countElsewhere(job->id, *job->spec, *atOnce, false);
     transfers_.push_back({job->id, offer->second.share, *atOnce});
     offers_.erase(offer);
@@ -103,7 +103,7 @@
     auto tasks = roomFor(id, known->second);
     if (tasks == 0) continue;
     offeredAt_ = now;
-    return out_.offerRoom({taken_.share.value, wanted.share, name, tasks});
+    return out_.offerRoom({takeover_.share.value, wanted.share, name, tasks});
   }
 }
 
@@ -147,7 +147,7 @@
 void Scheduler::addTransfers(wire::Transaction& t, std::size_t& weight) {
   for (const auto& transfer : std::exchange(transfers_, {})) {
     const Job* job = books_.job(transfer.job);
-    bool still = job && job->open() && job->placed == 0 && job->done == 0 && job->withdrawers.empty();
+    bool still = job && job->open() && job->placed == 0 && job->done == 0 && job->cancelWaiters.empty();
     wire::Write w;
     if (still) {
       wire::JobRecord record{JobStatus::Open, transfer.to, job->spec->tasks, job->submitted, *job->spec, {}};
@@ -163,7 +163,7 @@
       continue;
     }
     weight += wire::weightOf(w);
-    t.when[w.key] = job->stamp;
+    t.when[w.key] = job->version;
     t.apply.push_back(std::move(w));
     flight_->transferred.push_back(job->id);
     log_->info("job {} goes to share {}, {} tasks at once", job->id.value, transfer.to.value,
@@ -173,17 +173,17 @@
 
 Scheduler::Left Scheduler::leftOf(const Job& job) {
   auto tasks = static_cast<std::uint32_t>(job.tasks.size());
-  return {job.id, job.stamp, {JobStatus::Aborted, ShareNo{}, tasks, job.submitted, *job.spec, 0}};
+  return {job.id, job.version, {JobStatus::Aborted, ShareNo{}, tasks, job.submitted, *job.spec, 0}};
 }
 
 // A record that does not get its turn now is left as it is: the team's own share then waits for cancel_s.
 void Scheduler::addLeft(wire::Transaction& t, std::size_t& weight) {
   for (auto& left : std::exchange(left_, {})) {
-    left.record.share = taken_.share;
+    left.record.share = takeover_.share;
     wire::Write w{keys::job(left.job), wire::encodeJobRecord(left.record), {}};
     if (!fits(t, weight, w)) continue;
     weight += wire::weightOf(w);
-    t.when[w.key] = left.stamp;
+    t.when[w.key] = left.version;
     t.apply.push_back(std::move(w));
   }
 }
@@ -192,7 +192,7 @@
   if (auto counted = elsewhere_.find(id); counted != elsewhere_.end()) counted->second.committed = true;
   Job* job = books_.job(id);
   if (!job) return;
-  answerWithdrawers(*job, JobStatus::Open);  // they ask again, and the other owner is told
+  answerCancelWaiters(*job, JobStatus::Open);  // they ask again, and the other owner is told
   failures_.forget(id);
   books_.removeJob(id);
 }
@@ -206,8 +206,8 @@
 // A new owner: what was transferred before its takeover is in view by then.
 void Scheduler::countAllElsewhere() {
   for (const auto& [id, known] : dir_.jobs) {
-    bool gone = known.share == taken_.share || !known.spec || known.status == JobStatus::Done;
-    if (gone || settings_.shareOfTeam(known.spec->team) != taken_.share) continue;
+    bool gone = known.share == takeover_.share || !known.spec || known.status == JobStatus::Done;
+    if (gone || settings_.shareOfTeam(known.spec->team) != takeover_.share) continue;
     countElsewhere(id, *known.spec, known.atOnce.value_or(known.tasks), true);
   }
 }
@@ -224,7 +224,7 @@
       over = known->second.atOnce == 0U ||
              now - *counted.abortedSince > seconds(settings_.cancelS) + kBeyondCancel;
     } else if (over) {
-      over = known->second.status == JobStatus::Done || known->second.share == taken_.share;
+      over = known->second.status == JobStatus::Done || known->second.share == takeover_.share;
     }
     if (!over) {
       ++it;
--- a/src/actors/store.cpp
+++ b/src/actors/store.cpp
@@ -93,9 +93,9 @@
   return mirror ? mirror->freshAt() : Time{};
 }
 
-Stamp StateStore::revisionOf(const std::string& prefix) const {
+Version StateStore::revisionOf(const std::string& prefix) const {
   const auto* mirror = find(prefix);
-  return mirror ? mirror->revision() : Stamp{};
+  return mirror ? mirror->revision() : Version{};
 }
 
 void StateStore::catchUp(const std::string& prefix, std::function<void(bool)> done) {
--- a/src/actors/store.h
+++ b/src/actors/store.h
@@ -53,7 +53,7 @@
   // All that was committed under the prefix before that moment shows in its mirror.
   Time freshAt(const std::string& prefix) const;
   // The mirror of the prefix shows every change up to that revision.
-  Stamp revisionOf(const std::string& prefix) const;
+  Version revisionOf(const std::string& prefix) const;
   // What was asked of the service, by purpose, since the last call.
   Tally takeTally() { return std::exchange(tally_, {}); }
   // The service is back after a silence: begin all watches anew.
--- a/src/actors/store_client.cpp
+++ b/src/actors/store_client.cpp
@@ -112,7 +112,7 @@
   queue_.push(urgency, {"list", {"GET", path, "", false}, 0}, kListDeadline, std::move(listed));
 }
 
-void StoreClient::follow(const std::string& prefix, Stamp since, Duration wait, Duration deadline,
+void StoreClient::follow(const std::string& prefix, Version since, Duration wait, Duration deadline,
                          std::function<void(FollowResult)> done) {
   std::string path = "/follow?prefix=" + prefix + "&since=" + std::to_string(since.value) +
                      "&wait_ms=" + std::to_string(wait.count());
--- a/src/actors/store_client.h
+++ b/src/actors/store_client.h
@@ -21,7 +21,7 @@
     Unknown,   // may have been executed, or may be yet
   };
   Outcome outcome = Outcome::Unknown;
-  Stamp revision;
+  Version revision;
   std::vector<std::string> failed;
   bool ok() const { return outcome == Outcome::Ok; }
 };
@@ -29,7 +29,7 @@
 struct ListResult {
   bool ok = false;
   std::vector<wire::KeyChange> entries;
-  Stamp revision;  // of the first page
+  Version revision;  // of the first page
 };
 
 struct GetResult {
@@ -58,7 +58,7 @@
   void get(Urgency urgency, const std::string& key, Duration deadline, std::function<void(GetResult)> done);
   void list(Urgency urgency, const std::string& prefix, std::function<void(ListResult)> done);
   // The changes under the prefix after that revision; waits so long for one if there are none yet.
-  void follow(const std::string& prefix, Stamp since, Duration wait, Duration deadline,
+  void follow(const std::string& prefix, Version since, Duration wait, Duration deadline,
               std::function<void(FollowResult)> done);
   void openHold(Duration ttl, std::function<void(std::optional<std::uint64_t>)> done);
   void renewHold(std::uint64_t hold, Duration deadline, std::function<void(HoldRenewal)> done);
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -27,8 +27,8 @@
 using Epoch = Strong<struct EpochTag, std::uint64_t>;
 // What workers compare: an epoch in the high bits, the owner's own count of raises in the low ones.
 using Token = Strong<struct TokenTag, std::uint64_t>;
-using Stamp = Strong<struct StampTag, std::uint64_t>;
-using Tenure = Strong<struct TenureTag, std::uint64_t>;
+using Version = Strong<struct VersionTag, std::uint64_t>;
+using WorkerSession = Strong<struct WorkerSessionTag, std::uint64_t>;
 using Serial = Strong<struct SerialTag, std::uint64_t>;
 using ShareNo = Strong<struct ShareTag, std::uint32_t>;
 
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -22,16 +22,16 @@
   }
 };
 
-// Sent to every sibling at a steady beat.
-struct Pulse {
+// Sent to every sibling at a steady interval.
+struct Heartbeat {
   std::uint32_t hears = 0;     // bit per controller heard directly
   bool serving = false;        // it has loaded what it needs
   std::int64_t ownsForMs = 0;  // its hold is good for so long
   std::vector<OwnedShare> owns;
-  // What deputies need (actors/deputy.h), each for the sibling that the pulse goes to.
+  // What deputies need (actors/deputy.h), each for the sibling that the heartbeat goes to.
   std::uint64_t life = 0;           // of the process, later ones higher
   std::int64_t at = 0;              // when it was sent, by the sender's steady clock
-  std::int64_t echo = 0;            // the at of the last pulse from there
+  std::int64_t echo = 0;            // the at of the last heartbeat from there
   bool deputy = false;              // the sender may answer workers in its name
   std::int64_t answeredAgoMs = -1;  // the last time it did, if ever
   template <class A>
@@ -43,11 +43,11 @@
 // A user's question about a job, to the owner of its share.
 struct JobAsk {
   std::uint64_t id = 0;
-  bool withdraw = false;
+  bool cancel = false;
   std::string job;
   template <class A>
   void serialize(A& a) {
-    a(id, withdraw, job);
+    a(id, cancel, job);
   }
 };
 
@@ -86,10 +86,10 @@
 struct JobEnded {
   std::string job;
   bool done = false;  // or aborted
-  std::uint64_t stamp = 0;
+  std::uint64_t version = 0;
   template <class A>
   void serialize(A& a) {
-    a(job, done, stamp);
+    a(job, done, version);
   }
 };
 
@@ -138,7 +138,7 @@
   }
 };
 
-// From a share's owner to the leader, at a steady beat.
+// From a share's owner to the leader, at a steady interval.
 struct ShareLoad {
   std::uint32_t share = 0;
   std::uint64_t epoch = 0;
@@ -195,7 +195,7 @@
 };
 
 // New kinds go to the end: a controller of an earlier version refuses the frames that it does not know.
-using Payload = std::variant<Pulse, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish,
+using Payload = std::variant<Heartbeat, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish,
                              JobEnded, RoomWanted, RoomOffer>;
 
 struct Frame {
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -10,10 +10,10 @@
   // Values are JSON text already: the document is put together by hand so that they are not parsed again.
   std::string out = "{\"when\":[";
   bool first = true;
-  for (const auto& [key, stamp] : t.when) {
+  for (const auto& [key, version] : t.when) {
     if (!first) out += ',';
     first = false;
-    out += "{\"path\":" + dump(Json(key)) + ",\"stamp\":" + std::to_string(stamp.value) + "}";
+    out += "{\"path\":" + dump(Json(key)) + ",\"stamp\":" + std::to_string(version.value) + "}";
   }
   out += ']';
   if (!t.apply.empty()) {
@@ -37,23 +37,23 @@
 
 std::size_t weightOf(const Write& w) { return 2 * w.key.size() + (w.value ? w.value->size() : 0) + 120; }
 
-std::optional<Stamp> parseRevision(const std::string& body) {
+std::optional<Version> parseRevision(const std::string& body) {
   auto doc = parse(body);
   auto rev = doc ? countAt(*doc, "ledger_rev") : std::nullopt;
   if (!rev) return std::nullopt;
-  return Stamp{*rev};
+  return Version{*rev};
 }
 
 std::optional<KeyPage> parseEntries(const std::string& body) {
   auto doc = parse(body);
   auto rev = doc ? countAt(*doc, "ledger_rev") : std::nullopt;
   if (!rev) return std::nullopt;
-  KeyPage page{{}, flagAt(*doc, "truncated").value_or(false), Stamp{*rev}};
+  KeyPage page{{}, flagAt(*doc, "truncated").value_or(false), Version{*rev}};
   for (const auto& e : listAt(*doc, "entries")) {
     auto key = textAt(e, "path");
-    auto stamp = countAt(e, "stamp");
-    if (!key || !stamp || !e.contains("value")) return std::nullopt;
-    page.entries.push_back({*key, dump(e.at("value")), Stamp{*stamp}});
+    auto version = countAt(e, "stamp");
+    if (!key || !version || !e.contains("value")) return std::nullopt;
+    page.entries.push_back({*key, dump(e.at("value")), Version{*version}});
   }
   return page;
 }
@@ -62,16 +62,16 @@
   auto doc = parse(body);
   auto rev = doc ? countAt(*doc, "ledger_rev") : std::nullopt;
   if (!rev) return std::nullopt;
-  KeyPage page{{}, false, Stamp{*rev}};
+  KeyPage page{{}, false, Version{*rev}};
   for (const auto& e : listAt(*doc, "news")) {
-    auto stamp = countAt(e, "stamp");
+    auto version = countAt(e, "stamp");
     auto write = textAt(e, "write");
     auto drop = textAt(e, "drop");
-    if (!stamp || (!write && !drop) || (write && !e.contains("value"))) return std::nullopt;
+    if (!version || (!write && !drop) || (write && !e.contains("value"))) return std::nullopt;
     if (write)
-      page.entries.push_back({*write, dump(e.at("value")), Stamp{*stamp}});
+      page.entries.push_back({*write, dump(e.at("value")), Version{*version}});
     else
-      page.entries.push_back({*drop, std::nullopt, Stamp{*stamp}});
+      page.entries.push_back({*drop, std::nullopt, Version{*version}});
   }
   return page;
 }
@@ -80,9 +80,9 @@
   auto doc = parse(body);
   if (!doc) return std::nullopt;
   auto key = textAt(*doc, "path");
-  auto stamp = countAt(*doc, "stamp");
-  if (!key || !stamp || !doc->contains("value")) return std::nullopt;
-  return KeyChange{*key, dump(doc->at("value")), Stamp{*stamp}};
+  auto version = countAt(*doc, "stamp");
+  if (!key || !version || !doc->contains("value")) return std::nullopt;
+  return KeyChange{*key, dump(doc->at("value")), Version{*version}};
 }
 
 std::vector<std::string> parseFailed(const std::string& body) {
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -13,7 +13,7 @@
 struct KeyChange {
   std::string key;
   std::optional<std::string> value;  // JSON text; nothing: the key is gone
-  Stamp stamp;
+  Version version;
 };
 
 struct Write {
@@ -22,7 +22,7 @@
   std::optional<std::uint64_t> hold;
 };
 struct Transaction {
-  std::map<std::string, Stamp> when;
+  std::map<std::string, Version> when;
   std::vector<Write> apply;
 };
 
@@ -34,12 +34,12 @@
 struct KeyPage {
   std::vector<KeyChange> entries;
   bool truncated = false;
-  Stamp revision;
+  Version revision;
 };
 std::optional<KeyPage> parseEntries(const std::string& body);
 std::optional<KeyPage> parseNews(const std::string& body);
 std::optional<KeyChange> parseKey(const std::string& body);
-std::optional<Stamp> parseRevision(const std::string& body);
+std::optional<Version> parseRevision(const std::string& body);
 std::vector<std::string> parseFailed(const std::string& body);
 std::optional<std::uint64_t> parseHold(const std::string& body);
 
@@ -73,7 +73,7 @@
   std::map<JobId, RunFacts> jobs;
 };
 std::string encodePage(const PageRecord& r);
-// Nothing for what can't be read and for another layout, which is told by its version.
+// Nothing for what can't be read and for another layout, which is told by its layout version.
 std::optional<PageRecord> parsePage(const std::string& value);
 // Upper bounds of what they add to an encoded page.
 std::size_t weightOfJob(const JobId& job);
--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -75,16 +75,16 @@
   auto doc = parse(body);
   if (!doc) return std::nullopt;
   auto host = textAt(*doc, "host");
-  auto tenure = countAt(*doc, "tenure");
+  auto session = countAt(*doc, "tenure");
   auto serial = countAt(*doc, "serial");
   auto token = countAt(*doc, "epoch");
-  if (!host || host->empty() || !tenure || !serial || !token) return std::nullopt;
+  if (!host || host->empty() || !session || !serial || !token) return std::nullopt;
   Report r{HostId{*host},
            textAt(*doc, "addr").value_or(""),
            textAt(*doc, "flavour").value_or(""),
            Zone{textAt(*doc, "site").value_or("")},
            flagAt(*doc, "lendable").value_or(false),
-           Tenure{*tenure},
+           WorkerSession{*session},
            Serial{*serial},
            Token{*token},
            numberAt(*doc, "reclaim_in_s"),
@@ -102,8 +102,8 @@
   return dump(Json{{"epoch", token.value}, {"orders", ordersJson(orders)}});
 }
 
-std::string encodeCommands(Token token, Tenure tenure, const std::vector<Order>& orders) {
-  return dump(Json{{"epoch", token.value}, {"tenure", tenure.value}, {"orders", ordersJson(orders)}});
+std::string encodeCommands(Token token, WorkerSession session, const std::vector<Order>& orders) {
+  return dump(Json{{"epoch", token.value}, {"tenure", session.value}, {"orders", ordersJson(orders)}});
 }
 
 std::string encodeOwner(const NodeId& owner) { return dump(Json{{"steward", owner.value}}); }
--- a/src/wire/workers.h
+++ b/src/wire/workers.h
@@ -27,7 +27,7 @@
   std::string type;
   Zone zone;
   bool spot = false;
-  Tenure tenure;
+  WorkerSession session;
   Serial serial;
   Token token;
   std::optional<double> reclaimInS;
@@ -46,7 +46,7 @@
 
 // The answer to a check-in, and the body of direct commands.
 std::string encodeOrders(Token token, const std::vector<Order>& orders);
-std::string encodeCommands(Token token, Tenure tenure, const std::vector<Order>& orders);
+std::string encodeCommands(Token token, WorkerSession session, const std::vector<Order>& orders);
 std::string encodeOwner(const NodeId& owner);
 
 std::string encodeTask(const TaskId& t);
--- a/tests/unit/deputy_test.cpp
+++ b/tests/unit/deputy_test.cpp
@@ -18,17 +18,17 @@
   DeputyLink deputy{at(100), kGrace, kGrace + kTtl};
   DeputyLink owner{at(3700), kGrace, kGrace + kTtl};
   std::uint64_t deputyLife = 1;
-  Stamp cancelled{40}, seen{40};  // the owner's latest cancellation; what the deputy knows of all jobs
+  Version cancelled{40}, seen{40};  // the owner's latest cancellation; what the deputy knows of all jobs
 
   static Time ownersTime(std::int64_t s) { return at(s + 3600); }
-  mesh::Pulse fromDeputy(std::int64_t s, bool hears) {
-    mesh::Pulse p;
+  mesh::Heartbeat fromDeputy(std::int64_t s, bool hears) {
+    mesh::Heartbeat p;
     p.life = deputyLife;
     deputy.fill(p, hears, at(s));
     return p;
   }
-  mesh::Pulse fromOwner(std::int64_t s, Duration ownsFor = kTtl) {
-    mesh::Pulse p;
+  mesh::Heartbeat fromOwner(std::int64_t s, Duration ownsFor = kTtl) {
+    mesh::Heartbeat p;
     p.life = 9;
     p.ownsForMs = ownsFor.count();
     p.owns = {{kShare.value, kEpoch.value, cancelled.value}};
@@ -73,10 +73,10 @@
 // Invariant 16: it would prolong what the user was told is over.
 TEST_F(Pair, WhoMissesACancellationMayNotAnswer) {
   together(101, 109);
-  cancelled = Stamp{41};
+  cancelled = Version{41};
   together(110, 110);
   EXPECT_FALSE(may(116));
-  seen = Stamp{41};
+  seen = Version{41};
   EXPECT_TRUE(may(116));
 }
 
@@ -86,14 +86,14 @@
   EXPECT_FALSE(may(120));
 }
 
-TEST_F(Pair, AHeldPulseLendsNoLongerThanItsWordIsOld) {
+TEST_F(Pair, AHeldHeartbeatLendsNoLongerThanItsWordIsOld) {
   together(101, 110);
   auto held = fromOwner(111);
   deputy.came(held, at(170));
   EXPECT_FALSE(may(176));
 }
 
-TEST_F(Pair, APulsePassedByALaterOneSaysNothing) {
+TEST_F(Pair, AHeartbeatPassedByALaterOneSaysNothing) {
   together(101, 105);
   auto old = fromDeputy(106, true);
   auto later = fromDeputy(107, false);
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -32,7 +32,7 @@
   std::vector<mesh::HostWish> wishes;
 
   Leader() {
-    dir.leader = KnownOwner{{settings.node, Epoch{7}}, Stamp{70}};
+    dir.leader = KnownOwner{{settings.node, Epoch{7}}, Version{70}};
     MachineType t;
     t.name = "m";
     t.size = {16, 0, 32};
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -37,13 +37,13 @@
   ServiceIo io;
   StateStore store{settings, io, silentLog(), 1};
   Directory dir;
-  Membership membership{
-      settings,
-      io,
-      silentLog(),
-      store,
-      dir,
-      {[](const Standing&) {}, [](const Taken&) {}, [](ShareNo) {}, [](bool) {}, [](ShareNo, NodeId) {}}};
+  Membership membership{settings,
+                        io,
+                        silentLog(),
+                        store,
+                        dir,
+                        {[](const LeaseValidity&) {}, [](const ShareTakeover&) {}, [](ShareNo) {},
+                         [](bool) {}, [](ShareNo, NodeId) {}}};
   Held() {
     for (const auto& p : {keys::kJobs, keys::kHosts, keys::kShares, keys::kNodes})
       store.mirror(p, [](const wire::KeyChange&) {});
--- a/tests/unit/pages_test.cpp
+++ b/tests/unit/pages_test.cpp
@@ -10,7 +10,7 @@
 TEST(Pages, NoNumberIsUsedAgain) {
   Pages pages(std::size_t{16} * 1024);
   auto n = pages.next({});
-  pages.at(n).stamp = Stamp{5};
+  pages.at(n).version = Version{5};
   pages.drop(n);
   EXPECT_NE(pages.next({}), n);
 }
--- a/tests/unit/recorded_examples_test.cpp
+++ b/tests/unit/recorded_examples_test.cpp
@@ -82,8 +82,8 @@
 }
 
 TEST(Recorded, FramesOfControllersThatAnswerEachOther) {
-  mesh::Pulse pulse{5, true, 2900, {{1, 12, 412}}, 7, 100, 90, true, -1};
-  EXPECT_EQ(frameOf(pulse),
+  mesh::Heartbeat heartbeat{5, true, 2900, {{1, 12, 412}}, 7, 100, 90, true, -1};
+  EXPECT_EQ(frameOf(heartbeat),
             "010100000002000000000000000500000001540b0000000000000100000000000000010000000c000000000000009c01"
             "000000000000070000000000000064000000000000005a0000000000000001ffffffffffffffff");
   EXPECT_EQ(frameOf(mesh::JobAsk{3, true, "wk-000412"}),
--- a/tests/unit/rentals_test.cpp
+++ b/tests/unit/rentals_test.cpp
@@ -38,7 +38,7 @@
   Rentals rentals{context, records, 1};
   policy::Wish wish{{"m", settings.zones[0], false}, 2, 16};
 
-  RentalsTest() { directory.leader = KnownOwner{{settings.node, Epoch{7}}, Stamp{70}}; }
+  RentalsTest() { directory.leader = KnownOwner{{settings.node, Epoch{7}}, Version{70}}; }
   std::size_t ordered(ShareNo share) const {
     policy::ShareFleet fleet;
     rentals.addOrdered(share, fleet);
--- a/tests/world/close_looks.cpp
+++ b/tests/world/close_looks.cpp
@@ -27,16 +27,16 @@
     poll(id, false, node);
 }
 
-void World::withdrawAccepted(const std::string& id) {
-  if (traces[id].acceptedAt >= 0) return withdraw(id);
-  clock.after(kLookAgain, [this, id] { withdrawAccepted(id); });
+void World::cancelAccepted(const std::string& id) {
+  if (traces[id].acceptedAt >= 0) return cancel(id);
+  clock.after(kLookAgain, [this, id] { cancelAccepted(id); });
 }
 
 void World::heardAccepted(const std::string& id) {
   if (clock.now() >= closeLooks_.until) return;
   lookClosely(id);
   if (!clock.chance(closeLooks_.cancelled)) return;
-  clock.after(static_cast<Ms>(clock.uniform(0, kCancelWithinMs)), [this, id] { withdraw(id); });
+  clock.after(static_cast<Ms>(clock.uniform(0, kCancelWithinMs)), [this, id] { cancel(id); });
 }
 
 }  // namespace world
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -57,7 +57,7 @@
   void awake(std::function<void()> f);
   void schedule(Ms d);
   void report();
-  void answered(Ms sentAt, std::uint64_t tenure, const HttpResult& r, Ms givenAt);
+  void answered(Ms sentAt, std::uint64_t session, const HttpResult& r, Ms givenAt);
   void handle(HttpRequest r, Reply reply, Ms givenAt);
   void execute(const Json& orders, Ms givenAt);
   void start(const Key& k, std::uint64_t attempt, Ms givenAt);
@@ -78,7 +78,7 @@
   cherryloft::Resources size_;
   unsigned controllers_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  std::uint64_t tenure_ = 1, serial_ = 0, token_ = 0, runs_ = 0;
+  std::uint64_t session_ = 1, serial_ = 0, token_ = 0, runs_ = 0;
   Ms leaseFrom_, lastReport_ = -10'000, hungUntil_ = 0;
   std::optional<Ms> takenAt_;
   unsigned target_ = 0;
--- a/tests/world/odd_users.cpp
+++ b/tests/world/odd_users.cpp
@@ -63,8 +63,8 @@
   if (it == atEnd_.end()) return;
   for (const auto& a : it->second)
     clock.after(static_cast<Ms>(clock.uniform(0, static_cast<double>(a.within))), [this, id, what = a.what] {
-      if (what == "withdraw")
-        withdraw(id);
+      if (what == "cancel")
+        cancel(id);
       else if (what == "resubmit")
         resubmit(id);
       else
--- a/tests/world/scenario_expectations.cpp
+++ b/tests/world/scenario_expectations.cpp
@@ -129,7 +129,7 @@
       {"rented", [](const World& w) { return static_cast<double>(w.cloud.rented()); }},
       {"leases-ended", [](const World& w) -> double { return w.checker.leasesEnded(); }},
       {"reports-lost", [](const World& w) -> double { return w.checker.reportsLost(); }},
-      {"slowest-withdraw", [](const World& w) { return secondsOf(w.slowestWithdraw); }},
+      {"slowest-cancel", [](const World& w) { return secondsOf(w.slowestCancel); }},
       {"store-refused", [](const World& w) { return static_cast<double>(w.store.overLimit()); }},
       {"cloud-rate", [](const World& w) { return static_cast<double>(w.cloud.busiestSecond()); }},
       {"writes", [](const World& w) { return static_cast<double>(w.store.writes()); }},
--- a/tests/world/scenario_user_actions.cpp
+++ b/tests/world/scenario_user_actions.cpp
@@ -35,7 +35,7 @@
   for (unsigned i = 0; i < context.line.number(4); ++i) context.world.askUnknown(jobIdOf(first + i));
 }
 
-// at-end FIRST COUNT withdraw|resubmit|poll WITHIN
+// at-end FIRST COUNT cancel|resubmit|poll WITHIN
 void actAtEnd(Context context) {
   auto first = context.line.count(3);
   for (unsigned i = 0; i < context.line.number(4); ++i)
@@ -58,18 +58,18 @@
     if (!world.clock.chance(cancelled)) continue;
     auto latest = static_cast<double>(nature.run) + kLatestCancelMs;
     auto later = static_cast<Ms>(world.clock.uniform(kEarliestCancelMs, latest));
-    world.clock.after(at + later, [&world, id = nature.spec.id.value] { world.withdrawAccepted(id); });
+    world.clock.after(at + later, [&world, id = nature.spec.id.value] { world.cancelAccepted(id); });
   }
 }
 
-// withdraw-many FIRST COUNT EACH WITHIN: every EACH-th, at a moment of its own
-void withdrawMany(Context context) {
+// cancel-many FIRST COUNT EACH WITHIN: every EACH-th, at a moment of its own
+void cancelMany(Context context) {
   auto& world = context.world;
   const auto& line = context.line;
   auto within = static_cast<double>(line.duration(6));
   for (unsigned i = 0; i < line.number(4); i += line.count(5)) {
     auto at = static_cast<Ms>(world.clock.uniform(0, within));
-    world.clock.after(at, [&world, id = jobIdOf(line.count(3) + i)] { world.withdraw(id); });
+    world.clock.after(at, [&world, id = jobIdOf(line.count(3) + i)] { world.cancel(id); });
   }
 }
 
@@ -82,13 +82,13 @@
       {"submit-wrong", {submitWrong}},
       {"resubmit", {[](Context c) { c.world.resubmit(c.line.jobId(3)); }}},
       {"resubmit-broken", {[](Context c) { c.world.resubmitBroken(c.line.jobId(3)); }}},
-      {"withdraw", {[](Context c) { c.world.withdraw(c.line.jobId(3)); }}},
+      {"cancel", {[](Context c) { c.world.cancel(c.line.jobId(3)); }}},
       {"ask", {[](Context c) { c.world.askUnknown(c.line.jobId(3)); }}},
       {"ask-many", {askMany}},
       {"ask-up", {[](Context c) { c.world.askUp(c.line.count(3)); }}},
       {"at-end", {actAtEnd}},
       {"stream", {submitOneAfterTheOther}},
-      {"withdraw-many", {withdrawMany}},
+      {"cancel-many", {cancelMany}},
       {"close-looks", {[](Context c) { c.world.closeLooks(c.line.number(3), c.until(4)); }, 4}}};
   return table;
 }
--- a/tests/world/store.cpp
+++ b/tests/world/store.cpp
@@ -89,7 +89,7 @@
   Json failed = Json::array();
   for (const auto& c : doc.value("when", Json::array())) {
     auto it = data_.find(c["path"].get<std::string>());
-    if ((it == data_.end() ? 0 : it->second.stamp) != c["stamp"].get<std::uint64_t>())
+    if ((it == data_.end() ? 0 : it->second.version) != c["stamp"].get<std::uint64_t>())
       failed.push_back(c["path"]);
   }
   writes_ += apply.size();
@@ -141,7 +141,7 @@
       truncated = true;
       break;
     }
-    entries.push_back({{"path", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}});
+    entries.push_back({{"path", it->first}, {"value", it->second.value}, {"stamp", it->second.version}});
   }
   return {200, Json{{"entries", entries}, {"truncated", truncated}, {"ledger_rev", rev_}}.dump(), false, 0};
 }
@@ -231,9 +231,9 @@
   if (path.compare(0, 6, "/keys/") == 0) {
     auto it = data_.find(path.substr(6));
     if (it == data_.end()) return reply({404, Json{{"ledger_rev", rev_}}.dump(), false, 0});
-    return reply({200,
-                  Json{{"path", it->first}, {"value", it->second.value}, {"stamp", it->second.stamp}}.dump(),
-                  false, 0});
+    return reply(
+        {200, Json{{"path", it->first}, {"value", it->second.value}, {"stamp", it->second.version}}.dump(),
+         false, 0});
   }
   reply({400, "{}", false, 0});
 }
--- a/tests/world/store.h
+++ b/tests/world/store.h
@@ -34,7 +34,7 @@
   using Json = nlohmann::json;
   struct Entry {
     Json value;
-    std::uint64_t stamp = 0;
+    std::uint64_t version = 0;
     std::uint64_t hold = 0;
   };
   struct Change {
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -66,7 +66,7 @@
     list.push_back(std::move(e));
   }
   Json j{{"host", machine_.id},   {"addr", address_},          {"flavour", machine_.type},
-         {"site", machine_.zone}, {"lendable", machine_.spot}, {"tenure", tenure_},
+         {"site", machine_.zone}, {"lendable", machine_.spot}, {"tenure", session_},
          {"serial", ++serial_},   {"epoch", token_},           {"pieces", std::move(list)}};
   if (takenAt_) j["reclaim_in_s"] = static_cast<double>(*takenAt_ - clock_.now()) / 1000.0;
   return j;
@@ -77,17 +77,18 @@
   reporting_ = true;
   lastReport_ = clock_.now();
   HttpRequest r{"POST", "/checkin", body().dump(), false};
-  net_.call(machine_.id, "node" + std::to_string(target_), std::move(r), 4000,
-            [this, sent = clock_.now(), tenure = tenure_, alive = std::weak_ptr<bool>(alive_)](HttpResult h) {
-              if (!alive.lock()) return;
-              awake([this, sent, tenure, h, given = net_.sentAt()] {
-                reporting_ = false;
-                answered(sent, tenure, h, given);
-              });
-            });
-}
-
-void Worker::answered(Ms sentAt, std::uint64_t tenure, const HttpResult& r, Ms givenAt) {
+  net_.call(
+      machine_.id, "node" + std::to_string(target_), std::move(r), 4000,
+      [this, sent = clock_.now(), session = session_, alive = std::weak_ptr<bool>(alive_)](HttpResult h) {
+        if (!alive.lock()) return;
+        awake([this, sent, session, h, given = net_.sentAt()] {
+          reporting_ = false;
+          answered(sent, session, h, given);
+        });
+      });
+}
+
+void Worker::answered(Ms sentAt, std::uint64_t session, const HttpResult& r, Ms givenAt) {
   auto next = [this] {
     checker_.reportLost();
     target_ = (target_ + 1) % controllers_;
@@ -108,7 +109,7 @@
   auto doc = Json::parse(r.response.body);
   schedule(static_cast<Ms>(settings_.reportS * 1000 * clock_.uniform(0.75, 1.25)));
   auto token = doc.value("epoch", std::uint64_t{0});
-  if (tenure != tenure_ || token < token_) return;  // dropped: renews nothing
+  if (session != session_ || token < token_) return;  // dropped: renews nothing
   bool higher = token > token_;
   token_ = token;
   leaseFrom_ = sentAt;
@@ -123,7 +124,7 @@
   auto token = doc["epoch"].get<std::uint64_t>();
   if (cherryloft::epochOf({token}) < cherryloft::epochOf({token_}) && !doc["orders"].empty())
     checker_.commandOutdated();
-  if (token < token_ || doc["tenure"].get<std::uint64_t>() != tenure_)
+  if (token < token_ || doc["tenure"].get<std::uint64_t>() != session_)
     return reply({409, body().dump(), false, 0});
   bool higher = token > token_;
   token_ = token;
@@ -226,7 +227,7 @@
   for (auto& [k, h] : tasks_)
     if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
   tasks_.clear();
-  ++tenure_;
+  ++session_;
   leaseFrom_ = clock_.now();
 }
 
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -301,15 +301,15 @@
   request({"GET", "/v1/jobs/" + id, "", false}, 2000, heard, node);
 }
 
-void World::withdraw(const std::string& id) {
+void World::cancel(const std::string& id) {
   checker.cancelAsked(id);
-  tryWithdraw(id);
+  tryCancel(id);
 }
 
-void World::tryWithdraw(const std::string& id) {
+void World::tryCancel(const std::string& id) {
   request({"POST", "/v1/jobs/" + id + "/withdraw", "", false}, 5000,
           [this, id, asked = clock.now()](HttpResult h) {
-            slowestWithdraw = std::max(slowestWithdraw, clock.now() - asked);
+            slowestCancel = std::max(slowestCancel, clock.now() - asked);
             if (h.answered(200)) {
               auto status = Json::parse(h.response.body)["status"].get<std::string>();
               checker.told(id, status, said_);
@@ -318,7 +318,7 @@
               return lookClosely(id);
             }
             if (h.answered(404)) return checker.asked404(id);
-            clock.after(1000, [this, id] { tryWithdraw(id); });
+            clock.after(1000, [this, id] { tryCancel(id); });
           });
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -76,9 +76,9 @@
   void submit(const std::string& id, const TaskNature& nature);
   // The body a user would send for it.
   static std::string bodyOf(const TaskNature& nature);
-  void withdraw(const std::string& id);
+  void cancel(const std::string& id);
   // The same once its user has heard that it is accepted.
-  void withdrawAccepted(const std::string& id);
+  void cancelAccepted(const std::string& id);
   void askUnknown(const std::string& id);
   void resubmitBroken(const std::string& id);
   // A submission that must be refused: `kind` is nofit, noteam, nozone, overlimit, apart, nofield, badfield
@@ -117,14 +117,14 @@
   std::vector<std::unique_ptr<Controller>> controllers;
   std::map<std::string, JobTrace> traces;
   std::string zoneOf(const std::string& party) const;  // of a controller or machine; none of all others
-  Ms slowestWithdraw = 0;                              // how long a withdraw waited for its answer at most
-  std::map<unsigned, int> upStatus;                    // the last answer of each controller to a health check
+  Ms slowestCancel = 0;              // how long a cancellation waited for its answer at most
+  std::map<unsigned, int> upStatus;  // the last answer of each controller to a health check
 
  private:
   void request(HttpRequest r, Ms deadline, HttpDone done, Node node = {});
   void trySubmit(const std::string& id, std::string body);
   void ended(const std::string& id);
-  void tryWithdraw(const std::string& id);
+  void tryCancel(const std::string& id);
   void review();
   void lookClosely(const std::string& id);
   void lookOnce(const std::string& id, unsigned node, bool resubmits);
