--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -193,6 +193,7 @@
   void makeRoomFor(const Ranked& blocked, RoomToCome& room, unsigned& asked, std::set<HostId>& changed);
   // Transfers of jobs to other shares (invariant 17).
   void reviewTransfers(Time now);
+  bool transferPlanned(const JobId& id) const;
   bool waitsInVain(const Job& job, Time now) const;
   std::vector<const Job*> waitingInVain(Time now) const;
   std::uint32_t roomFor(const JobId& id, const KnownJob& known) const;
--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -46,6 +46,14 @@
   return jobs;
 }
 
+// Its transfer is about to be written, or on its way: no transaction writes a job's record twice.
+bool Scheduler::transferPlanned(const JobId& id) const {
+  bool planned =
+      std::any_of(transfers_.begin(), transfers_.end(), [&](const auto& t) { return t.job == id; });
+  bool underWay = flight_ && std::count(flight_->transferred.begin(), flight_->transferred.end(), id) > 0;
+  return planned || underWay || elsewhere_.count(id) > 0;
+}
+
 void Scheduler::reviewTransfers(Time now) {
   if (now - transfersReviewed_ < kReviewEvery) return;
   transfersReviewed_ = now;
@@ -55,7 +63,7 @@
   mesh::RoomWanted wanted;
   wanted.share = takeover_.share.value;
   for (const Job* job : waitingInVain(now)) {
-    if (elsewhere_.count(job->id) > 0) continue;  // its transfer is about to be written
+    if (transferPlanned(job->id)) continue;
     auto offer = offers_.find(job->id);
     auto atOnce = offer == offers_.end() ? std::nullopt : mayRunElsewhere(*job);
     if (!atOnce) {
