--- a/tests/world/old_reports.cpp
+++ b/tests/world/old_reports.cpp
@@ -19,7 +19,9 @@
 
 // Of each machine one of its reports, the same to every controller, each copy at its own moment.
 void World::deliverOldReports() {
-  for (const auto& [host, kept] : keptReports_) {
+  for (const auto& entry : keptReports_) {
+    const auto& host = entry.first;
+    const auto& kept = entry.second;
     auto old = std::count_if(kept.begin(), kept.end(),
                              [&](const KeptReport& k) { return clock.now() - k.sentAt >= kOld; });
     if (old == 0) continue;
