--- a/tests/unit/group_commit_test.cpp
+++ b/tests/unit/group_commit_test.cpp
@@ -5,8 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "unit/clock_io.h"
-#include "world/world.h"
+#include "unit/store_queue_fixture.h"
 
 using namespace cherryloft;
 
@@ -14,26 +13,7 @@
 
 using Outcome = TxnResult::Outcome;
 
-struct AnsweringIo : ClockIo {
-  std::vector<std::string> bodies;
-  std::vector<HttpDone> open;
-  void call(const Address&, HttpRequest request, Duration, HttpDone done) override {
-    bodies.push_back(request.body);
-    open.push_back(std::move(done));
-  }
-  void answer(std::size_t n, int status, const std::string& body) {
-    auto done = open.at(n);
-    done({HttpResult::Outcome::Answered, {status, body, false, 0}});
-  }
-};
-
-struct GroupCommitTest : testing::Test {
-  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
-  AnsweringIo io;
-  RequestBudget budget{settings, io.now()};
-  StoreTally tally;
-  std::mt19937_64 rng{1};
-  RequestQueue queue{settings, io, budget, tally, rng};
+struct GroupCommitTest : StoreQueueFixture {
   StoreClient client{queue, tally};
   GroupCommit commits{settings, io, client, budget, tally};
   std::map<std::string, std::vector<Outcome>> results;
@@ -43,7 +23,7 @@
                    [this, key](const TxnResult& result) { results[key].push_back(result.outcome); });
   }
   bool names(std::size_t n, const std::string& key) const {
-    return io.bodies.at(n).find('"' + key + '"') != std::string::npos;
+    return io.requests.at(n).body.find('"' + key + '"') != std::string::npos;
   }
 };
 
@@ -53,11 +33,11 @@
 
 TEST_F(GroupCommitTest, WhatComesMeanwhileSharesTheNextTransaction) {
   for (const auto* key : {"job/a", "job/b", "job/c"}) create(key);
-  ASSERT_EQ(io.bodies.size(), 1U);
+  ASSERT_EQ(io.requests.size(), 1U);
   EXPECT_TRUE(names(0, "job/a"));
   EXPECT_EQ(commits.waiting(), 2U);
   io.answer(0, 200, kCommitted);
-  ASSERT_EQ(io.bodies.size(), 2U);
+  ASSERT_EQ(io.requests.size(), 2U);
   EXPECT_TRUE(names(1, "job/b") && names(1, "job/c"));
   io.answer(1, 200, kCommitted);
   for (const auto* key : {"job/a", "job/b", "job/c"})
@@ -67,7 +47,7 @@
 TEST_F(GroupCommitTest, AKeyStandsInATransactionOnce) {
   for (const auto* key : {"job/a", "job/b", "job/b"}) create(key);
   io.answer(0, 200, kCommitted);
-  ASSERT_EQ(io.bodies.size(), 2U);
+  ASSERT_EQ(io.requests.size(), 2U);
   EXPECT_EQ(commits.waiting(), 1U);
 }
 
@@ -77,7 +57,7 @@
   io.answer(1, 409, R"({"failed":["job/b"]})");
   EXPECT_EQ(results["job/b"], (std::vector<Outcome>{Outcome::Conflict}));
   EXPECT_TRUE(results["job/c"].empty());
-  ASSERT_EQ(io.bodies.size(), 3U);
+  ASSERT_EQ(io.requests.size(), 3U);
   EXPECT_TRUE(names(2, "job/c"));
 }
 
@@ -87,5 +67,5 @@
   io.clock.run(io.clock.now() + 500);
   EXPECT_EQ(results["job/a"], (std::vector<Outcome>{Outcome::Refused}));
   EXPECT_EQ(commits.waiting(), 0U);
-  EXPECT_TRUE(io.bodies.empty());
+  EXPECT_TRUE(io.requests.empty());
 }
--- a/tests/unit/rentals_test.cpp
+++ b/tests/unit/rentals_test.cpp
@@ -5,24 +5,16 @@
 
 #include <nlohmann/json.hpp>
 
-#include "unit/clock_io.h"
+#include "unit/held_calls_io.h"
 #include "world/world.h"
 
 using namespace cherryloft;
 
 namespace {
 
-struct CloudIo : ClockIo {
-  std::vector<HttpRequest> requests;
-  std::vector<HttpDone> open;
-  void call(const Address&, HttpRequest request, Duration, HttpDone done) override {
-    if (request.target != "/hosts") return;
-    requests.push_back(std::move(request));
-    open.push_back(std::move(done));
-  }
-  void answer(std::size_t n, int status, const std::string& body) {
-    auto done = open.at(n);
-    done({HttpResult::Outcome::Answered, {status, body, false, 0}});
+struct CloudIo : HeldCallsIo {
+  void call(const Address& to, HttpRequest request, Duration deadline, HttpDone done) override {
+    if (request.target == "/hosts") HeldCallsIo::call(to, std::move(request), deadline, std::move(done));
   }
   std::string claim(std::size_t n) const { return nlohmann::json::parse(requests.at(n).body)["claim"]; }
 };
--- a/tests/unit/request_queue_test.cpp
+++ b/tests/unit/request_queue_test.cpp
@@ -3,29 +3,13 @@
 
 #include <gtest/gtest.h>
 
-#include "unit/clock_io.h"
-#include "world/world.h"
+#include "unit/store_queue_fixture.h"
 
 using namespace cherryloft;
 
 namespace {
 
-struct RecordingIo : ClockIo {
-  std::vector<std::string> sent;
-  std::vector<HttpDone> open;
-  void call(const Address&, HttpRequest request, Duration, HttpDone done) override {
-    sent.push_back(request.target);
-    open.push_back(std::move(done));
-  }
-};
-
-struct RequestQueueTest : testing::Test {
-  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
-  RecordingIo io;
-  RequestBudget budget{settings, io.now()};
-  StoreTally tally;
-  std::mt19937_64 rng{1};
-  RequestQueue queue{settings, io, budget, tally, rng};
+struct RequestQueueTest : StoreQueueFixture {
   std::vector<HttpResult::Outcome> outcomes;
 
   void push(Urgency urgency, const std::string& target, Duration deadline = Duration{10'000},
@@ -46,22 +30,22 @@
   push(Urgency::User, "/user");
   push(Urgency::Work, "/work");
   push(Urgency::Control, "/control");
-  EXPECT_TRUE(io.sent.empty());
+  EXPECT_TRUE(io.requests.empty());
   run(1'000);
-  EXPECT_EQ(io.sent, (std::vector<std::string>{"/control", "/work", "/user"}));
+  EXPECT_EQ(io.targets(), (std::vector<std::string>{"/control", "/work", "/user"}));
 }
 
 TEST_F(RequestQueueTest, RenewalsOfHoldsDoNotWaitForTheBudget) {
   useUpRequests();
   push(Urgency::Hold, "/hold");
-  EXPECT_EQ(io.sent, (std::vector<std::string>{"/hold"}));
+  EXPECT_EQ(io.targets(), (std::vector<std::string>{"/hold"}));
 }
 
 TEST_F(RequestQueueTest, WhatHadNoTurnInTimeIsNotSent) {
   budget.pauseUntil(io.now() + Duration{1'000});
   push(Urgency::Control, "/late", Duration{100});
   run(2'000);
-  EXPECT_TRUE(io.sent.empty());
+  EXPECT_TRUE(io.requests.empty());
   EXPECT_EQ(outcomes, (std::vector<HttpResult::Outcome>{HttpResult::Outcome::NotSent}));
   EXPECT_EQ(tally.outOfTime, 1U);
 }
@@ -72,9 +56,9 @@
   answer({HttpResult::Outcome::Answered, {429, "{}", false, 0}});
   push(Urgency::Control, "/second");
   run(200);
-  EXPECT_EQ(io.sent.size(), 1U);
+  EXPECT_EQ(io.requests.size(), 1U);
   run(1'000);
-  EXPECT_EQ(io.sent.size(), 2U);
+  EXPECT_EQ(io.requests.size(), 2U);
   EXPECT_EQ(tally.refused, 1U);
 }
 
@@ -82,7 +66,7 @@
   auto most = static_cast<unsigned>(budget.changes());
   push(Urgency::Work, "/all", Duration{10'000}, most);
   push(Urgency::Work, "/more", Duration{10'000}, 1);
-  EXPECT_EQ(io.sent, (std::vector<std::string>{"/all"}));
+  EXPECT_EQ(io.targets(), (std::vector<std::string>{"/all"}));
   run(1'000);
-  EXPECT_EQ(io.sent.size(), 2U);
+  EXPECT_EQ(io.requests.size(), 2U);
 }
--- /dev/null
+++ b/tests/unit/store_queue_fixture.h
@@ -0,0 +1,23 @@
+// The queue of requests to the state service with all that it needs, for tests of what stands on it.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "actors/request_queue.h"
+#include "unit/held_calls_io.h"
+#include "world/world.h"
+
+namespace cherryloft {
+
+struct StoreQueueFixture : testing::Test {
+  Settings settings = parseSettings(world::Deployment{}.settingsOf(0), {});
+  HeldCallsIo io;
+  RequestBudget budget{settings, io.now()};
+  StoreTally tally;
+  std::mt19937_64 rng{1};
+  RequestQueue queue{settings, io, budget, tally, rng};
+};
+
+}  // namespace cherryloft
