--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -30,7 +30,7 @@
 
 // --- jobs ---
 
-Job& Books::addJob(const JobId& id, const KnownJob& known) {
+Job& Books::addJob(const JobId& id, const KnownJob& known, const Delegation* delegation) {
   auto& j = jobs_[id];
   j.id = id;
   j.spec = known.spec;
@@ -39,14 +39,64 @@
   j.version = known.version;
   j.submitted = known.submitted;
   j.status = known.status;
-  j.atOnce = known.atOnce;
   j.tasks.assign(known.tasks, Task{});
   byTeam_[j.spec->team][{j.submitted, id}] = &j;
+  if (delegation)
+    takeDelegated(j, *delegation);
+  else
+    takeOwn(j, known);
   if (j.status == JobStatus::Open)
-    for (std::uint32_t i = 0; i < known.tasks; ++i) j.waiting.push_back(i);
+    for (std::uint32_t i = 0; i < known.tasks; ++i)
+      if (j.tasks[i].state == TaskState::Waiting) j.waiting.push_back(i);
   return j;
 }
 
+void Books::takeOwn(Job& job, const KnownJob& known) {
+  job.atOnce = known.atOnce;
+  job.delegations = known.delegations;
+  for (const auto& d : known.delegations)
+    for (auto i : d.tasks)
+      if (i < job.tasks.size()) makeRemote(job, i, d.zone);
+  for (auto i : known.doneElsewhere) {
+    if (i >= job.tasks.size() || job.tasks[i].state != TaskState::Waiting) continue;
+    job.tasks[i].state = TaskState::Done;
+    job.tasks[i].doneCommitted = true;
+    ++job.done;
+  }
+}
+
+void Books::takeDelegated(Job& job, const Delegation& delegation) {
+  job.delegation = delegation;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    if (delegation.covers(i)) continue;
+    job.tasks[i].state = TaskState::Remote;
+    ++job.remote;
+  }
+}
+
+void Books::makeRemote(Job& job, std::uint32_t index, const std::optional<Zone>& zone) {
+  job.tasks[index].state = TaskState::Remote;
+  ++job.remote;
+  if (zone) ++job.zones[*zone];
+  use_[job.spec->team] += job.spec->each;
+}
+
+void Books::remoteBack(Job& job, std::uint32_t index, const std::optional<Zone>& zone, bool done) {
+  --job.remote;
+  if (zone) {
+    auto count = job.zones.find(*zone);
+    if (--count->second == 0) job.zones.erase(count);
+  }
+  use_[job.spec->team] -= job.spec->each;
+  auto& task = job.tasks[index];
+  task.state = done ? TaskState::Done : TaskState::Waiting;
+  task.doneCommitted = done;
+  if (done)
+    ++job.done;
+  else
+    job.waiting.push_back(index);
+}
+
 void Books::removeJob(const JobId& id) {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
@@ -219,7 +269,9 @@
 
 bool Books::withinLimit(const Job& job) const {
   if (!job.team) return false;
-  if (job.atOnce) return job.placed < *job.atOnce;  // its team's own share counts it (invariant 17)
+  if (job.delegation) return true;  // the owner's share counts it (invariant 18)
+  if (job.atOnce)
+    return job.placed + job.remote < *job.atOnce;  // its team's own share counts it (invariant 17)
   auto sum = teamUse(job.spec->team) + job.spec->each;
   sum.ram = 0;
   return sum.fitsIn({job.team->coresMax, job.team->gpusMax, 0});
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -21,7 +21,8 @@
 // Machines by their number in the books, so that walks come in the same order every time.
 using HostSet = std::map<std::uint32_t, Host*>;
 
-enum class TaskState : std::uint8_t { Waiting, Placed, Done };
+// Remote: another share has it, by a delegation (invariant 18).
+enum class TaskState : std::uint8_t { Waiting, Placed, Done, Remote };
 
 struct Task {
   TaskState state = TaskState::Waiting;
@@ -54,9 +55,16 @@
   std::optional<std::uint32_t>
       atOnce;            // of a job of another share's team: its tasks that may be placed at a time
   Time anyStartUntil{};  // till then it does not wait for room on machines that have its image
+  // Invariant 18. Of a job that this share owns: what other shares have of it, as committed.
+  std::vector<Delegation> delegations;
+  // Of a job that another share owns: what this share has of it. All its other tasks are Remote.
+  std::optional<Delegation> delegation;
+  std::uint32_t remote = 0;            // tasks in state Remote
+  std::optional<Attempt> gangAttempt;  // of a gang parted among shares, for its members here
+  bool recalling = false;              // of such a gang: it starts anew once all its tasks are back
 
   bool open() const { return status == JobStatus::Open && !abortAsked; }
-  Resources unfinished() const { return spec->each * static_cast<double>(tasks.size() - done); }
+  Resources unfinished() const { return spec->each * static_cast<double>(tasks.size() - done - remote); }
 };
 
 // A task that may be on a machine (invariant 1: from its commit on; counted even before).
@@ -168,7 +176,8 @@
  public:
   explicit Books(const Settings& settings) : settings_(settings), pages_(settings.valueBytes) {}
 
-  Job& addJob(const JobId& id, const KnownJob& known);
+  // The share's own job, or what a delegation gives to it of another share's.
+  Job& addJob(const JobId& id, const KnownJob& known, const Delegation* delegation = nullptr);
   void removeJob(const JobId& id);
   Job* job(const JobId& id);
   std::map<JobId, Job>& jobs() { return jobs_; }
@@ -187,6 +196,10 @@
   // The task is known gone; it waits again unless its job is over.
   void gone(Host& host, const TaskId& task, Time now);
   void taskDone(Host& host, const TaskId& task, Time now);
+  // A waiting task goes to another share: it counts toward the team's limit and the zones' rules as if placed
+  // there, until it is back.
+  void makeRemote(Job& job, std::uint32_t index, const std::optional<Zone>& zone);
+  void remoteBack(Job& job, std::uint32_t index, const std::optional<Zone>& zone, bool done);
   void setPhase(Placement& p, wire::TaskPhase phase, Time now);
   void cached(Host& host, const ImageId& image, double gb);
   // To be told after anything that Host::open() depends on has changed.
@@ -214,6 +227,8 @@
   Pages& pages() { return pages_; }
 
  private:
+  void takeOwn(Job& job, const KnownJob& known);
+  void takeDelegated(Job& job, const Delegation& delegation);
   void release(Host& host, std::map<TaskId, Placement>::iterator it, Time now);
   void forgetFact(Task& t);
   bool stands(const TaskId& id, PageNo page);
--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -136,6 +136,8 @@
     j.submitted = r->submitted;
     j.version = c.version;
     j.atOnce = r->atOnce;
+    j.delegations = std::move(r->delegations);
+    j.doneElsewhere = std::move(r->doneElsewhere);
     j.spec = r->spec ? std::make_shared<const JobSpec>(std::move(*r->spec)) : nullptr;
   } else if (under(c.key, keys::kHosts)) {
     return applyGroup(c, log);
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -22,6 +22,8 @@
   Version version;
   std::shared_ptr<const JobSpec> spec;    // while open
   std::optional<std::uint32_t> atOnce{};  // of a job in another share than its team's (wire::JobRecord)
+  std::vector<Delegation> delegations{};
+  std::vector<std::uint32_t> doneElsewhere{};
 };
 
 struct KnownHost {
--- a/src/actors/node.cpp
+++ b/src/actors/node.cpp
@@ -30,7 +30,8 @@
                      if (auto* s = scheduler(k)) s->handBack(to);
                    }}),
       fleet_(settings, io, log, store_, dir_, rng_(),
-             {[this](const mesh::HostWish& w) { wish(w); }, [this] { return owns(); }}),
+             {[this](const mesh::HostWish& w) { toShare(ShareNo{w.share}, w, &Scheduler::wish); },
+              [this] { return owns(); }}),
       api_(settings, io, log, store_, dir_, peers_,
            {[this](ShareNo k) { return scheduler(k); }, [this] { return owns(); },
             [this](const wire::KeyChange& c) { changed(c); },
@@ -54,9 +55,8 @@
   mesh::Heartbeat p;
   p.serving = serving();
   p.ownsForMs = std::max((membership_.leaseValidity().ownsUntil - io_.now()).count(), std::int64_t{0});
-  // A share that is not loaded lends nothing: what its former owner cancelled is not known yet.
   for (const auto& [k, epoch] : membership_.owned())
-    if (auto s = schedulers_.find(k); s != schedulers_.end() && s->second->loaded())
+    if (auto s = schedulers_.find(k); s != schedulers_.end() && s->second->knowsCancellations())
       p.owns.push_back({k.value, epoch.value, s->second->lastAborted().value});
   return p;
 }
@@ -135,8 +135,19 @@
       [this, k = t.share](Version version, const NodeId& to, std::function<void(bool)> done) {
         membership_.give(k, version, to, std::move(done));
       },
-      [this] { return peers_.answeredElsewhere(); }, [this](const mesh::RoomWanted& w) { wantRoom(w); },
-      [this](const mesh::RoomOffer& o) { offerRoom(o); }};
+      [this] { return peers_.answeredElsewhere(); },
+      [this, k = t.share](const mesh::RoomWanted& w) {
+        peers_.sendAll(w);
+        toOthersHere(k, w, &Scheduler::roomWanted);
+      },
+      [this](const mesh::RoomOffer& o) { toShare(ShareNo{o.toShare}, o, &Scheduler::roomOffered); },
+      [this, k = t.share](const mesh::PartialRoomWanted& w) {
+        peers_.sendAll(w);
+        toOthersHere(k, w, &Scheduler::partialRoomWanted);
+      },
+      [this](const mesh::PartialRoomOffer& o) {
+        toShare(ShareNo{o.toShare}, o, &Scheduler::partialRoomOffered);
+      }};
   auto& s = schedulers_[t.share];
   s = std::make_unique<Scheduler>(settings_, io_, log_, store_, dir_, t, membership_.leaseValidity(), rng_(),
                                   out);
@@ -166,6 +177,7 @@
 
 void Node::jobEnded(const JobId& id, JobStatus s, Version version) {
   dir_.ended(id, s, version);
+  for (auto& [_, x] : schedulers_) x->jobChanged(id);
   // Whoever answers workers or users should know before the user does; no bound hangs on it.
   peers_.sendAll(mesh::JobEnded{id.value, s == JobStatus::Done, version.value});
 }
@@ -178,31 +190,20 @@
     peers_.send(dir_.leader->record.owner, l);
 }
 
-void Node::wantRoom(const mesh::RoomWanted& w) {
-  peers_.sendAll(w);
-  roomWanted(w);
+// To the scheduler of a share, here or at the controller that owns it.
+template <class Message>
+void Node::toShare(ShareNo share, const Message& message, Handler<Message> handler) {
+  if (auto* s = scheduler(share))
+    (s->*handler)(message);
+  else if (const NodeId* owner = dir_.ownerOf(share))
+    peers_.send(*owner, message);
 }
 
-// Another share's owner may be this controller as well.
-void Node::roomWanted(const mesh::RoomWanted& w) {
+// To the schedulers here of all shares but the one that asks; another share's owner may be this controller.
+template <class Message>
+void Node::toOthersHere(ShareNo asking, const Message& message, Handler<Message> handler) {
   for (auto& [share, s] : schedulers_)
-    if (share.value != w.share) s->roomWanted(w);
-}
-
-void Node::offerRoom(const mesh::RoomOffer& o) {
-  ShareNo to{o.toShare};
-  if (auto* s = scheduler(to))
-    s->roomOffered(o);
-  else if (const NodeId* owner = dir_.ownerOf(to))
-    peers_.send(*owner, o);
-}
-
-void Node::wish(const mesh::HostWish& w) {
-  ShareNo k{w.share};
-  if (auto* s = scheduler(k))
-    s->wish(w);
-  else if (const NodeId* owner = dir_.ownerOf(k))
-    peers_.send(*owner, w);
+    if (share != asking) (s.get()->*handler)(message);
 }
 
 void Node::received(std::uint32_t from, const mesh::Payload& p) {
@@ -225,13 +226,19 @@
   } else if (const auto* load = std::get_if<mesh::ShareLoad>(&p)) {
     fleet_.load(*load);
   } else if (const auto* over = std::get_if<mesh::JobEnded>(&p)) {
-    dir_.ended(JobId{over->job}, over->done ? JobStatus::Done : JobStatus::Aborted, Version{over->version});
+    JobId id{over->job};
+    dir_.ended(id, over->done ? JobStatus::Done : JobStatus::Aborted, Version{over->version});
+    for (auto& [_, s] : schedulers_) s->jobChanged(id);
   } else if (const auto* w = std::get_if<mesh::HostWish>(&p)) {
     if (auto* s = scheduler(ShareNo{w->share})) s->wish(*w);
   } else if (const auto* wanted = std::get_if<mesh::RoomWanted>(&p)) {
-    roomWanted(*wanted);
+    toOthersHere(ShareNo{wanted->share}, *wanted, &Scheduler::roomWanted);
   } else if (const auto* offer = std::get_if<mesh::RoomOffer>(&p)) {
     if (auto* s = scheduler(ShareNo{offer->toShare})) s->roomOffered(*offer);
+  } else if (const auto* partial = std::get_if<mesh::PartialRoomWanted>(&p)) {
+    toOthersHere(ShareNo{partial->share}, *partial, &Scheduler::partialRoomWanted);
+  } else if (const auto* some = std::get_if<mesh::PartialRoomOffer>(&p)) {
+    if (auto* s = scheduler(ShareNo{some->toShare})) s->partialRoomOffered(*some);
   }
 }
 
--- a/src/actors/node.h
+++ b/src/actors/node.h
@@ -36,10 +36,12 @@
   void probe(const std::string& address, std::function<void(const std::string& body)> done);
   void jobEnded(const JobId& id, JobStatus s, Version version);
   void sendLoad(const mesh::ShareLoad& l);
-  void wish(const mesh::HostWish& w);
-  void wantRoom(const mesh::RoomWanted& w);
-  void roomWanted(const mesh::RoomWanted& w);
-  void offerRoom(const mesh::RoomOffer& o);
+  template <class Message>
+  using Handler = void (Scheduler::*)(const Message&);
+  template <class Message>
+  void toShare(ShareNo share, const Message& message, Handler<Message> handler);
+  template <class Message>
+  void toOthersHere(ShareNo asking, const Message& message, Handler<Message> handler);
   Scheduler* scheduler(ShareNo k);
   void jobs(const HttpRequest& r, Responder done);
   void checkIn(const std::string& body, Responder done);
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -73,6 +73,8 @@
       books_.addJob(id, known).since = now;
     else if (known.share == takeover_.share && known.status == JobStatus::Aborted)
       lastAborted_ = std::max(lastAborted_, known.version);
+    else if (const auto* delegation = findDelegation(known.delegations, takeover_.share))
+      restoreDelegation(id, known, *delegation);
   auto prefix = keys::runs(takeover_.share);
   std::map<TaskId, Restored> placed;
   for (const auto& e : runs.entries) {
@@ -92,6 +94,7 @@
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
       if (job.tasks[i].state == TaskState::Waiting) job.waiting.push_back(i);
     if (job.done == job.tasks.size()) ending_.insert(id);
+    if (job.status == JobStatus::Open) resumeDelegations(job);
   }
   std::vector<JobId> over;
   for (auto& [id, job] : books_.jobs())
@@ -105,14 +108,26 @@
   wake(true);
 }
 
+void Scheduler::restoreDelegation(const JobId& id, const KnownJob& known, const Delegation& delegation) {
+  if (known.status == JobStatus::Open && known.spec)
+    acceptDelegation(id, known, delegation);
+  else if (known.status == JobStatus::Aborted)
+    lastAborted_ = std::max(lastAborted_, known.version);
+}
+
 // Takes in what is done; of what was placed, the latest attempt of each task is gathered.
 void Scheduler::restoreDone(const wire::PageRecord& page, PageNo n, std::map<TaskId, Restored>& placed) {
   for (const auto& [id, facts] : page.jobs) {
     Job* job = books_.job(id);
     auto known = dir_.jobs.find(id);
     // An aborted job's tasks may still be somewhere: they count until they are known gone.
-    if (!job && known != dir_.jobs.end() && known->second.status == JobStatus::Aborted && known->second.spec)
-      job = &books_.addJob(id, known->second);
+    if (!job && known != dir_.jobs.end() && known->second.status == JobStatus::Aborted &&
+        known->second.spec) {
+      // Of another share's job a delegation may have been given back in part: all that pages name counts.
+      Delegation all{takeover_.share, std::nullopt, {}};
+      for (std::uint32_t i = 0; i < known->second.tasks; ++i) all.tasks.push_back(i);
+      job = &books_.addJob(id, known->second, known->second.share == takeover_.share ? nullptr : &all);
+    }
     if (!job) continue;
     for (auto i : facts.done) {
       if (i >= job->tasks.size() || job->tasks[i].state != TaskState::Waiting) continue;
@@ -162,12 +177,13 @@
 void Scheduler::jobChanged(const JobId& id) {
   if (!loaded_) return;
   auto known = dir_.jobs.find(id);
-  if (known == dir_.jobs.end() || known->second.share != takeover_.share) return;
+  if (known == dir_.jobs.end()) return;
+  if (known->second.share != takeover_.share) return delegatedJobChanged(id, known->second);
   // Our own commit may show here before its answer comes, and deputies must have seen it as well (invariant
   // 15).
   if (known->second.status == JobStatus::Aborted)
     lastAborted_ = std::max(lastAborted_, known->second.version);
-  if (books_.job(id)) return;
+  if (Job* job = books_.job(id)) return ownedJobChanged(*job, known->second);
   const auto& k = known->second;
   if (k.status != JobStatus::Open || !k.spec) return;
   auto& job = books_.addJob(id, k);
@@ -216,7 +232,8 @@
 std::optional<wire::JobView> Scheduler::poll(const JobId& id) const {
   if (!loaded_ || !owns()) return std::nullopt;
   auto it = books_.jobs().find(id);
-  if (it == books_.jobs().end() || it->second.status != JobStatus::Open) return std::nullopt;
+  if (it == books_.jobs().end() || it->second.status != JobStatus::Open || it->second.delegation)
+    return std::nullopt;
   // Its end is on its way or in doubt, or the share is: a sibling may have seen it, and told the user, before
   // us.
   if (gaveUpShare_) return std::nullopt;
@@ -231,7 +248,7 @@
 
 bool Scheduler::cancel(const JobId& id, std::function<void(JobStatus)> done) {
   Job* j = books_.job(id);
-  if (!loaded_ || !owns() || !j) return false;
+  if (!loaded_ || !owns() || !j || j->delegation) return false;
   if (j->status != JobStatus::Open) {
     done(j->status);
     return true;
@@ -267,6 +284,7 @@
   giveUpDoubtful(now);
   reviewFailures(now);
   reviewTransfers(now);
+  reviewDelegations(now);
   settleRecords(now);
   if (now - loadSent_ >= kLoadEvery) {
     loadSent_ = now;
@@ -276,7 +294,8 @@
     return !j.second.waiting.empty() && j.second.notBefore > now - 2 * kTick && j.second.notBefore <= now;
   });
   if (due) wake(true);
-  if (!fresh_.empty() || !ending_.empty() || !left_.empty()) wake(false);
+  bool toWrite = !fresh_.empty() || !ending_.empty() || !left_.empty() || !delegationWrites_.empty();
+  if (toWrite || anyReturnable(now)) wake(false);
 }
 
 // Whoever stood still hears first what has been waiting, and judges nobody before. What went unanswered
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -30,6 +30,8 @@
     std::function<Time()> answeredElsewhere;
     std::function<void(const mesh::RoomWanted&)> wantRoom;  // to the owners of all other shares
     std::function<void(const mesh::RoomOffer&)> offerRoom;  // to the owner of the share that asked
+    std::function<void(const mesh::PartialRoomWanted&)> wantPartialRoom;  // to the owners of all other shares
+    std::function<void(const mesh::PartialRoomOffer&)> offerPartialRoom;  // to the owner that asked
   };
   struct CheckInAnswer {
     int status = 503;
@@ -52,11 +54,17 @@
   // Another share's owner looks for room for its jobs, or offers room for ours (scheduler_transfers.cpp).
   void roomWanted(const mesh::RoomWanted& wanted);
   void roomOffered(const mesh::RoomOffer& offer);
+  // The same for some tasks of a job (scheduler_delegation.cpp).
+  void partialRoomWanted(const mesh::PartialRoomWanted& wanted);
+  void partialRoomOffered(const mesh::PartialRoomOffer& offer);
   // Nothing if this actor may not answer now.
   std::optional<wire::JobView> poll(const JobId& id) const;
   // done is told the committed state; false if this actor can't take the request.
   bool cancel(const JobId& id, std::function<void(JobStatus)> done);
   bool loaded() const { return loaded_; }
+  // Every cancellation that touches the share's machines is committed by this actor, and known: not before it
+  // has loaded, nor while it places tasks of another share's job.
+  bool knowsCancellations() const { return loaded_ && delegatedHere_.empty(); }
   ShareNo share() const { return takeover_.share; }
   // The revision of the share's latest cancellation.
   Version lastAborted() const { return lastAborted_; }
@@ -85,6 +93,7 @@
   };
   void restoreDone(const wire::PageRecord& page, PageNo n, std::map<TaskId, Restored>& placed);
   void restorePlaced(const TaskId& task, const Restored& r);
+  void restoreDelegation(const JobId& id, const KnownJob& known, const Delegation& delegation);
   Host& admit(const HostId& id, const KnownHost& known);
 
   // Machines.
@@ -194,18 +203,49 @@
   // Transfers of jobs to other shares (invariant 17).
   void reviewTransfers(Time now);
   bool transferPlanned(const JobId& id) const;
-  bool waitsInVain(const Job& job, Time now) const;
-  std::vector<const Job*> waitingInVain(Time now) const;
-  std::uint32_t roomFor(const JobId& id, const KnownJob& known) const;
+  bool waitsLong(const Job& job, Time now) const;
+  bool waitsInVain(const Job& job) const;
+  std::vector<Job*> oldestInVain(bool untouched, Time now);
+  // How many tasks of a job with this description find room in each zone.
+  std::map<Zone, std::uint32_t> roomByZone(const Job& job) const;
+  std::uint32_t roomFor(const Job& job) const;
   std::optional<std::uint32_t> mayRunElsewhere(const Job& job) const;
+  std::uint32_t tasksWithinLimit(const Job& job) const;
   void countElsewhere(const JobId& id, const JobSpec& spec, std::uint32_t tasks, bool committed);
   void countAllElsewhere();
+  void countDelegated(const JobId& id, const KnownJob& known);
   void releaseElsewhere(Time now);
   void addTransfers(wire::Transaction& t, std::size_t& weight);
   void transferred(const JobId& id);
   struct Left;
   static Left leftOf(const Job& job);
   void addLeft(wire::Transaction& t, std::size_t& weight);
+  // Delegations of tasks to other shares (invariant 18): of this share's jobs, ...
+  struct PartialOffer;
+  void reviewDelegations(Time now);
+  mesh::PartialRoomRequest partialRequest(const Job& job) const;
+  bool planDelegations(Job& job, Time now);
+  void delegate(Job& job, const PartialOffer& offer, std::uint32_t most);
+  void planRecall(Job& job);
+  void resumeDelegations(Job& job);
+  void undoPlan(Job& job, const std::vector<Delegation>& planned);
+  void addDelegations(wire::Transaction& t, std::size_t& weight);
+  struct DelegationWrite;
+  std::optional<wire::JobRecord> recordWith(const Job& job, const DelegationWrite& change) const;
+  void delegationsCommitted(const DelegationWrite& written, Version version);
+  void ownedJobChanged(Job& job, const KnownJob& known);
+  // ... and of other shares' jobs.
+  void delegatedJobChanged(const JobId& id, const KnownJob& known);
+  Job& acceptDelegation(const JobId& id, const KnownJob& known, const Delegation& delegation);
+  void recallDelegated(Job& job);
+  void abortDelegated(Job& job);
+  std::vector<std::uint32_t> returnable(const Job& job, Time now) const;
+  bool anyReturnable(Time now) const;
+  void addReturns(wire::Transaction& t, std::size_t& weight);
+  struct DelegationReturn;
+  void returnCommitted(const DelegationReturn& written, Version version);
+  void stopTasks(const Job& job, std::set<HostId>& hosts);
+  bool mayNotKnowCancellations(Time now) const;
   void commit();
   void commitAt(Time due);
   void committed(const TxnResult& r);
@@ -251,6 +291,18 @@
   Time commitNotBefore_{}, lastCommit_{};
   bool commitSet_ = false;
   bool startsFresh_ = false;  // some of fresh_ are placements
+  // What a commit changes in the delegations of one of this share's jobs.
+  struct DelegationWrite {
+    JobId job;
+    std::vector<Delegation> planned;  // tasks that go to other shares
+    bool recall = false;              // all that is with other shares is asked back
+  };
+  // What a commit gives back of another share's job.
+  struct DelegationReturn {
+    JobId job;
+    std::vector<std::uint32_t> tasks;
+    Delegation kept;
+  };
   struct InFlight {
     wire::Transaction txn;
     std::vector<PageNo> pages;
@@ -258,6 +310,8 @@
     std::vector<TaskId> done;
     std::vector<std::pair<JobId, JobStatus>> ended;
     std::vector<JobId> transferred;
+    std::vector<DelegationWrite> delegated;
+    std::vector<DelegationReturn> returned;
     std::vector<PageNo> dropped;
   };
   std::optional<InFlight> flight_;
@@ -305,6 +359,20 @@
   Time transfersReviewed_{};
   Time offeredAt_{};
 
+  struct PartialOffer {
+    ShareNo share;
+    std::optional<Zone> zone;  // nothing: the job may use any of its zones
+    std::uint32_t tasks = 0;
+    Time at;
+  };
+  std::map<JobId, std::vector<PartialOffer>> partialOffers_;
+  std::map<JobId, DelegationWrite> delegationWrites_;  // to be written with the next commit
+  std::set<JobId> delegatedHere_;                      // jobs of other shares in the books
+  // Delegations that were given back in full; the directory may show them until it shows that version.
+  std::map<JobId, Version> returnedAt_;
+  Time delegationsReviewed_{};
+  Time partialOfferedAt_{};
+
   StartSpans spans_;
   Counts accounted_;
 
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -28,6 +28,7 @@
                            {}};
     if (!done) record.spec = *job->spec;
     if (!done) record.atOnce = job->atOnce;
+    if (!done) record.delegations = job->delegations;
     wire::Write w{keys::job(*it), wire::encodeJobRecord(record), {}};
     if (!fits(t, weight, w)) return;
     weight += wire::weightOf(w);
@@ -81,6 +82,8 @@
     addTerminal(t, weight);
     addTransfers(t, weight);
     addLeft(t, weight);
+    addDelegations(t, weight);
+    addReturns(t, weight);
     // A share that is to be handed back waits for nothing else: in a large one something is done at every
     // moment. The next owner learns from reports what is done, as nothing is forgotten before it is written
     // (invariant 8), and placements that were not written were not sent.
@@ -155,6 +158,8 @@
       j->tasks[id.index].flying = false;
     }
   for (const auto& id : f.transferred) transferred(id);
+  for (const auto& written : f.delegated) delegationsCommitted(written, r.revision);
+  for (const auto& written : f.returned) returnCommitted(written, r.revision);
   std::set<HostId> hosts;
   for (const auto& [hostId, task, attempt] : f.placed) {
     if (Job* j = books_.job(task.job)) j->tasks[task.index].flying = false;
@@ -182,14 +187,7 @@
     if (status == JobStatus::Aborted) {
       lastAborted_ = std::max(lastAborted_, r.revision);
       j->waiting.clear();
-      std::vector<std::pair<Host*, TaskId>> placed;
-      for (std::uint32_t i = 0; i < j->tasks.size(); ++i)
-        if (Host* h = j->tasks[i].host) placed.emplace_back(h, TaskId{id, i});
-      // The job leaves the books with the last of them that was never sent.
-      for (const auto& [h, task] : placed) {
-        hosts.insert(h->id);
-        if (auto it = h->placements.find(task); it != h->placements.end()) stop(*h, task, it->second);
-      }
+      stopTasks(*j, hosts);
     }
     if (Job* left = books_.job(id)) cleanUp(*left);
   }
@@ -205,12 +203,30 @@
   for (auto& w : waiting) w(s);
 }
 
+// Orders the end of all that is placed of a job, and names the machines. A job that is over leaves the books
+// with the last task that was never sent.
+void Scheduler::stopTasks(const Job& job, std::set<HostId>& hosts) {
+  std::vector<std::pair<Host*, TaskId>> placed;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+    if (Host* h = job.tasks[i].host) placed.emplace_back(h, TaskId{job.id, i});
+  for (const auto& [h, task] : placed) {
+    hosts.insert(h->id);
+    if (auto it = h->placements.find(task); it != h->placements.end()) stop(*h, task, it->second);
+  }
+}
+
 // A job that is over leaves the books once none of its tasks can be anywhere. What pages say of it is of no
 // more use then, and goes when they are written anew.
 void Scheduler::cleanUp(Job& job) {
   if (job.status == JobStatus::Open || job.placed > 0) return;
   auto id = job.id;
-  if (job.status == JobStatus::Aborted && job.atOnce) left_.push_back(leftOf(job));
+  bool remains = !job.delegation && job.remote > 0;  // with other shares
+  if (job.status == JobStatus::Aborted && job.atOnce && !remains) left_.push_back(leftOf(job));
+  if (remains) {
+    auto sum = job.spec->each * static_cast<double>(job.remote);
+    elsewhere_[id] = {job.spec->team, sum, true, std::nullopt};  // the books count it already
+  }
+  delegatedHere_.erase(id);
   failures_.forget(id);
   books_.removeJob(id);
 }
--- /dev/null
+++ b/src/actors/scheduler_delegation.cpp
@@ -0,0 +1,389 @@
+// Delegations: waiting tasks of a job that another share places for the share that owns the job (invariant
+// 18).
+//
+// Used where a job can't be transferred whole: some of its tasks are placed or done, or it is a gang that no
+// share has room for alone. The owner keeps the job: it answers its users, writes its end, and counts what
+// it delegated toward the team's limit and the zones' rules. The delegate places the tasks, in one zone
+// where the job's rules ask for it, and gives back what is done, and what it finds no room for. Each step is
+// one write of the job's record under its version.
+#include <algorithm>
+#include <utility>
+
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr Duration kReviewEvery{1'000};
+constexpr Duration kOfferHolds{3'000};
+constexpr Duration kBetweenOffers{1'000};  // so that one room is not offered to many
+constexpr Duration kReturnsAfter{30'000};  // what found no room for so long goes back to the owner
+constexpr std::uint32_t kMostDelegated = 64;
+
+// Where its tasks may go depends on where its others are.
+bool boundToZones(const JobSpec& spec) { return spec.spread || spec.oneZone; }
+
+// In messages an empty name stands for any zone.
+std::optional<Zone> zoneNamed(const std::string& name) {
+  return name.empty() ? std::nullopt : std::optional(Zone{name});
+}
+
+}  // namespace
+
+// --- the owner ---
+
+void Scheduler::reviewDelegations(Time now) {
+  if (now - delegationsReviewed_ < kReviewEvery) return;
+  delegationsReviewed_ = now;
+  std::erase_if(partialOffers_,
+                [&](const auto& o) { return o.second.empty() || now - o.second.front().at > kOfferHolds; });
+  if (givingTo_ || gaveUpShare_) return;
+  mesh::PartialRoomWanted wanted;
+  wanted.share = takeover_.share.value;
+  for (Job* job : oldestInVain(false, now)) {
+    if (transferPlanned(job->id) || delegationWrites_.count(job->id) > 0) continue;
+    bool parted = job->spec->shape == Shape::Gang && job->remote > 0;
+    if (parted) planRecall(*job);  // the members here found no room after all
+    if (parted || planDelegations(*job, now))
+      wake(false);
+    else
+      wanted.jobs.push_back(partialRequest(*job));
+  }
+  if (!wanted.jobs.empty()) out_.wantPartialRoom(wanted);
+}
+
+// How many of its tasks are to go, and how many of them each zone may take where that matters.
+mesh::PartialRoomRequest Scheduler::partialRequest(const Job& job) const {
+  auto wanted = static_cast<std::uint32_t>(std::min<std::size_t>(job.waiting.size(), kMostDelegated));
+  mesh::PartialRoomRequest request{job.id.value, std::min(wanted, tasksWithinLimit(job)), {}};
+  if (!boundToZones(*job.spec)) {
+    request.zones.push_back({"", request.tasks});
+    return request;
+  }
+  for (const auto& zone : settings_.zones) {
+    std::uint32_t allowed = 0;
+    while (allowed < request.tasks && zoneAllows(job, zone, allowed)) ++allowed;
+    if (allowed > 0) request.zones.push_back({zone.value, allowed});
+  }
+  return request;
+}
+
+void Scheduler::partialRoomOffered(const mesh::PartialRoomOffer& offer) {
+  JobId id{offer.job};
+  if (!loaded_ || !owns() || !books_.job(id) || offer.room.tasks == 0) return;
+  auto& offers = partialOffers_[id];
+  ShareNo share{offer.share};
+  std::erase_if(offers, [&](const PartialOffer& o) { return o.share == share; });
+  offers.push_back({share, zoneNamed(offer.room.zone), offer.room.tasks, io_.now()});
+}
+
+// Hands tasks to those who offered room, the largest offer first. A gang goes only if all of it finds room,
+// with what there is here.
+bool Scheduler::planDelegations(Job& job, Time now) {
+  auto found = partialOffers_.find(job.id);
+  if (found == partialOffers_.end()) return false;
+  auto offers = std::move(found->second);
+  partialOffers_.erase(found);
+  std::erase_if(offers, [&](const PartialOffer& o) {
+    return findDelegation(job.delegations, o.share) || now - o.at > kOfferHolds;
+  });
+  std::stable_sort(offers.begin(), offers.end(),
+                   [](const PartialOffer& a, const PartialOffer& b) { return a.tasks > b.tasks; });
+  bool gang = job.spec->shape == Shape::Gang;
+  auto here = gang ? roomFor(job) : 0;
+  auto left = static_cast<std::uint32_t>(job.waiting.size()) - here;
+  if (!gang) left = std::min(left, tasksWithinLimit(job));
+  if (gang && tasksWithinLimit(job) < job.waiting.size()) return false;
+  if (gang) job.gangAttempt = attemptOf(takeover_.epoch, ++attempts_);
+  for (const auto& offer : offers) {
+    auto before = job.remote;
+    delegate(job, offer, left);
+    left -= job.remote - before;
+    if (left == 0) break;
+  }
+  auto planned = delegationWrites_.find(job.id);
+  if (planned == delegationWrites_.end()) return false;
+  if (gang && left > 0) {
+    undoPlan(job, planned->second.planned);
+    delegationWrites_.erase(planned);
+    return false;
+  }
+  job.placedLast = now;  // the rest waits anew
+  return true;
+}
+
+void Scheduler::delegate(Job& job, const PartialOffer& offer, std::uint32_t most) {
+  Delegation d{offer.share, offer.zone, {}, job.gangAttempt};
+  most = std::min({most, offer.tasks, kMostDelegated});
+  while (d.tasks.size() < most && (!offer.zone || zoneAllows(job, *offer.zone))) {
+    auto index = job.waiting.front();
+    job.waiting.pop_front();
+    books_.makeRemote(job, index, offer.zone);
+    d.tasks.push_back(index);
+  }
+  if (d.tasks.empty()) return;
+  std::sort(d.tasks.begin(), d.tasks.end());
+  log_->info("job {}: {} tasks go to share {}", job.id.value, d.tasks.size(), offer.share.value);
+  auto& write = delegationWrites_[job.id];
+  write.job = job.id;
+  write.planned.push_back(std::move(d));
+}
+
+// A member of a gang is gone: the others can't go on without it, wherever they are.
+void Scheduler::planRecall(Job& job) {
+  if (std::exchange(job.recalling, true)) return;
+  auto& write = delegationWrites_[job.id];
+  write.job = job.id;
+  write.recall = true;
+}
+
+// Of a gang whose members here are not placed a former owner may have tried some: it starts anew as a whole.
+void Scheduler::resumeDelegations(Job& job) {
+  if (job.delegation || job.remote == 0 || job.spec->shape != Shape::Gang) return;
+  bool recalled = std::any_of(job.delegations.begin(), job.delegations.end(),
+                              [](const Delegation& d) { return d.recalled; });
+  if (recalled)
+    job.recalling = true;
+  else if (!job.waiting.empty())
+    gangBroken(job);
+}
+
+void Scheduler::undoPlan(Job& job, const std::vector<Delegation>& planned) {
+  for (const auto& d : planned)
+    for (auto index : d.tasks) books_.remoteBack(job, index, d.zone, false);
+  std::sort(job.waiting.begin(), job.waiting.end());
+}
+
+// The job's record as it is known, with the change; nothing while the directory lags behind our own writes.
+std::optional<wire::JobRecord> Scheduler::recordWith(const Job& job, const DelegationWrite& change) const {
+  auto known = dir_.jobs.find(job.id);
+  bool current = known != dir_.jobs.end() && known->second.version == job.version &&
+                 known->second.status == JobStatus::Open;
+  if (!current || !job.open() || !job.cancelWaiters.empty()) return std::nullopt;
+  wire::JobRecord record{
+      JobStatus::Open, takeover_.share, known->second.tasks,       job.submitted,
+      *job.spec,       job.atOnce,      known->second.delegations, known->second.doneElsewhere};
+  record.delegations.insert(record.delegations.end(), change.planned.begin(), change.planned.end());
+  if (change.recall)
+    for (auto& d : record.delegations) d.recalled = true;
+  return record;
+}
+
+void Scheduler::addDelegations(wire::Transaction& t, std::size_t& weight) {
+  for (auto it = delegationWrites_.begin(); it != delegationWrites_.end();) {
+    Job* job = books_.job(it->first);
+    if (!job || !job->open()) {
+      if (job) undoPlan(*job, it->second.planned);
+      it = delegationWrites_.erase(it);
+      continue;
+    }
+    auto record = recordWith(*job, it->second);
+    wire::Write w{keys::job(job->id), record ? wire::encodeJobRecord(*record) : "", {}};
+    if (!record || w.value->size() > settings_.valueBytes || !fits(t, weight, w)) {
+      if (it->second.recall) {
+        ++it;  // its turn comes
+        continue;
+      }
+      undoPlan(*job, it->second.planned);
+      job->gangAttempt.reset();
+      it = delegationWrites_.erase(it);
+      continue;
+    }
+    weight += wire::weightOf(w);
+    t.when[w.key] = job->version;
+    t.apply.push_back(std::move(w));
+    flight_->delegated.push_back(std::move(it->second));
+    it = delegationWrites_.erase(it);
+  }
+}
+
+// The directory may have shown it before the answer came, and what the delegates wrote since.
+void Scheduler::delegationsCommitted(const DelegationWrite& written, Version version) {
+  Job* job = books_.job(written.job);
+  if (!job || job->version >= version) return;
+  job->version = version;
+  job->delegations.insert(job->delegations.end(), written.planned.begin(), written.planned.end());
+}
+
+// What delegates gave back, done or not.
+void Scheduler::ownedJobChanged(Job& job, const KnownJob& known) {
+  if (known.status != JobStatus::Open || job.status != JobStatus::Open || job.version >= known.version)
+    return;
+  job.version = known.version;
+  bool notDone = false, any = false;
+  auto former = std::exchange(job.delegations, known.delegations);
+  for (const auto& before : former) {
+    const auto* now = findDelegation(known.delegations, before.share);
+    for (auto index : before.tasks) {
+      if ((now && now->covers(index)) || job.tasks[index].state != TaskState::Remote) continue;
+      bool done = std::binary_search(known.doneElsewhere.begin(), known.doneElsewhere.end(), index);
+      books_.remoteBack(job, index, before.zone, done);
+      notDone |= !done;
+      any = true;
+    }
+  }
+  if (job.remote == 0) {
+    job.recalling = false;
+    job.gangAttempt.reset();
+  }
+  if (notDone) gangBroken(job);
+  if (job.done == job.tasks.size()) ending_.insert(job.id);
+  if (any) wake(true);
+}
+
+// --- the delegate ---
+
+void Scheduler::partialRoomWanted(const mesh::PartialRoomWanted& wanted) {
+  auto now = io_.now();
+  if (!loaded_ || !owns() || givingTo_ || gaveUpShare_ || now - partialOfferedAt_ < kBetweenOffers) return;
+  for (const auto& request : wanted.jobs) {
+    JobId id{request.job};
+    auto known = dir_.jobs.find(id);
+    bool theirs =
+        known != dir_.jobs.end() && known->second.share == ShareNo{wanted.share} && known->second.spec;
+    if (!theirs || known->second.status != JobStatus::Open || books_.job(id)) continue;
+    Job probe;
+    probe.id = id;
+    probe.spec = known->second.spec;
+    mesh::PartialRoomOffer offer{takeover_.share.value, wanted.share, request.job, {}};
+    for (const auto& [zone, tasks] : request.zones) {
+      probe.delegation = Delegation{takeover_.share, zoneNamed(zone), {}};
+      auto room = std::min({roomFor(probe), tasks, request.tasks});
+      if (room > offer.room.tasks) offer.room = {zone, room};
+    }
+    if (offer.room.tasks == 0) continue;
+    partialOfferedAt_ = now;
+    return out_.offerPartialRoom(offer);
+  }
+}
+
+Job& Scheduler::acceptDelegation(const JobId& id, const KnownJob& known, const Delegation& delegation) {
+  auto& job = books_.addJob(id, known, &delegation);
+  job.since = io_.now();
+  delegatedHere_.insert(id);
+  // A gang's attempt is tried once; whether a former owner of this share did is not known.
+  if (!loaded_ && delegation.attempt) job.begun = true;
+  if (delegation.recalled) recallDelegated(job);
+  return job;
+}
+
+void Scheduler::delegatedJobChanged(const JobId& id, const KnownJob& known) {
+  const auto* mine = findDelegation(known.delegations, takeover_.share);
+  Job* job = books_.job(id);
+  if (!job) {
+    auto returned = returnedAt_.find(id);
+    bool stale = returned != returnedAt_.end() && known.version < returned->second;
+    if (stale) return;
+    if (returned != returnedAt_.end()) returnedAt_.erase(returned);
+    if (!mine || known.status != JobStatus::Open || !known.spec) return;
+    acceptDelegation(id, known, *mine);
+    return wake(true);
+  }
+  if (!job->delegation || job->status != JobStatus::Open) return;
+  job->version = std::max(job->version, known.version);
+  if (known.status == JobStatus::Aborted) {
+    lastAborted_ = std::max(lastAborted_, known.version);
+    abortDelegated(*job);
+  } else if (mine && mine->recalled) {
+    recallDelegated(*job);
+  }
+}
+
+// Nothing new is placed, and what is placed ends.
+void Scheduler::recallDelegated(Job& job) {
+  if (std::exchange(job.recalling, true)) return;
+  job.notBefore = Time::max();
+  std::set<HostId> hosts;
+  stopTasks(job, hosts);
+  for (const auto& id : hosts)
+    if (Host* h = books_.host(id)) direct(*h);
+  wake(false);
+}
+
+void Scheduler::abortDelegated(Job& job) {
+  auto id = job.id;
+  job.status = JobStatus::Aborted;
+  job.waiting.clear();
+  std::set<HostId> hosts;
+  stopTasks(job, hosts);
+  if (Job* left = books_.job(id)) cleanUp(*left);
+  for (const auto& host : hosts)
+    if (Host* h = books_.host(host)) direct(*h);
+  wake(true);
+}
+
+// Tasks that go back to the owner: all that are not placed, once nothing is left to do, or once what waits
+// found no room for long or is asked back. Of a gang, as soon as none is placed.
+std::vector<std::uint32_t> Scheduler::returnable(const Job& job, Time now) const {
+  bool over = job.placed == 0 && job.waiting.empty();
+  bool inVain = now - std::max(job.since, job.placedLast) >= kReturnsAfter;
+  bool gangEnded = job.delegation->attempt && job.begun && job.placed == 0;
+  std::vector<std::uint32_t> tasks;
+  if (!over && (job.waiting.empty() || !(inVain || job.recalling || gangEnded))) return tasks;
+  for (auto index : job.delegation->tasks)
+    if (!job.tasks[index].host) tasks.push_back(index);
+  return tasks;
+}
+
+bool Scheduler::anyReturnable(Time now) const {
+  return std::any_of(delegatedHere_.begin(), delegatedHere_.end(), [&](const JobId& id) {
+    auto job = books_.jobs().find(id);
+    return job != books_.jobs().end() && job->second.status == JobStatus::Open &&
+           !returnable(job->second, now).empty();
+  });
+}
+
+void Scheduler::addReturns(wire::Transaction& t, std::size_t& weight) {
+  for (const auto& id : delegatedHere_) {
+    Job* job = books_.job(id);
+    auto known = dir_.jobs.find(id);
+    bool current = job && known != dir_.jobs.end() && known->second.version == job->version;
+    if (!current || job->status != JobStatus::Open || known->second.status != JobStatus::Open) continue;
+    auto tasks = returnable(*job, io_.now());
+    if (tasks.empty()) continue;
+    const auto& k = known->second;
+    wire::JobRecord record{JobStatus::Open, k.share,  k.tasks,       k.submitted,
+                           *job->spec,      k.atOnce, k.delegations, k.doneElsewhere};
+    DelegationReturn written{id, tasks, *job->delegation};
+    std::erase_if(written.kept.tasks,
+                  [&](auto index) { return std::binary_search(tasks.begin(), tasks.end(), index); });
+    std::erase_if(record.delegations, [&](const auto& d) { return d.share == takeover_.share; });
+    if (!written.kept.tasks.empty()) record.delegations.push_back(written.kept);
+    for (auto index : tasks)
+      if (job->tasks[index].state == TaskState::Done) record.doneElsewhere.push_back(index);
+    std::sort(record.doneElsewhere.begin(), record.doneElsewhere.end());
+    wire::Write w{keys::job(id), wire::encodeJobRecord(record), {}};
+    if (!fits(t, weight, w)) return;
+    weight += wire::weightOf(w);
+    t.when[w.key] = job->version;
+    t.apply.push_back(std::move(w));
+    flight_->returned.push_back(std::move(written));
+  }
+}
+
+void Scheduler::returnCommitted(const DelegationReturn& written, Version version) {
+  Job* job = books_.job(written.job);
+  if (!job || job->status != JobStatus::Open) return;
+  job->version = version;
+  for (auto index : written.tasks) {
+    auto& task = job->tasks[index];
+    std::erase(job->waiting, index);
+    if (task.state != TaskState::Waiting) continue;
+    task.state = TaskState::Remote;
+    ++job->remote;
+  }
+  job->delegation->tasks = written.kept.tasks;
+  log_->info("job {}: {} tasks go back to its owner", written.job.value, written.tasks.size());
+  if (!written.kept.tasks.empty()) return;
+  returnedAt_[written.job] = version;
+  delegatedHere_.erase(written.job);
+  failures_.forget(written.job);
+  books_.removeJob(written.job);
+}
+
+// A cancellation of a delegated job is confirmed by its owner, and we see it in the mirror (invariant 16).
+bool Scheduler::mayNotKnowCancellations(Time now) const {
+  return !delegatedHere_.empty() && now >= store_.freshAt(keys::kJobs) + settings_.blindFor();
+}
+
+}  // namespace cherryloft
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -29,6 +29,7 @@
     if (r.token > base) return {421, "{}"};
     return {200, wire::encodeOrders(base, dir_.endsOfAborted(r))};
   }
+  if (mayNotKnowCancellations(now)) return {503, R"({"error":"cancellations may be unknown"})"};
   Host* h = books_.host(r.host);
   if (!h) return {503, R"({"error":"unknown machine"})"};
   if (r.token > h->token()) {
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -65,7 +65,9 @@
       if (job->waiting.empty() || now < job->notBefore) continue;
       policy::Candidate c;
       c.rank = job->spec->rank;
-      c.guaranteed = t && Resources{sum.cores, sum.gpus, 0}.fitsIn({t->cores, t->gpus, 0});
+      // Only the owner of a delegated job knows what its team takes in all.
+      c.guaranteed =
+          t && !job->delegation && Resources{sum.cores, sum.gpus, 0}.fitsIn({t->cores, t->gpus, 0});
       c.ageS = static_cast<double>(wall.value - job->submitted.value) / 1000.0;
       if (job->spec->dueS) c.slackS = *job->spec->dueS - c.ageS - job->spec->expectS;
       c.workLeft = job->unfinished().cores * job->spec->expectS;
@@ -127,7 +129,8 @@
   unsigned got = 0;
   // The members of a gang find each other by their common attempt.
   bool gang = job.spec->shape == Shape::Gang;
-  if (gang) ++attempts_;
+  auto common = job.delegation ? job.delegation->attempt : job.gangAttempt;
+  if (gang && !common) common = attemptOf(takeover_.epoch, ++attempts_);
   while (got < most && !job.waiting.empty() && books_.withinLimit(job)) {
     Host* h = choose(job, turn);
     if (!h && std::exchange(job.avoidSpot, false)) {
@@ -137,7 +140,7 @@
     if (!h) break;
     auto index = job.waiting.front();
     job.waiting.pop_front();
-    auto attempt = attemptOf(takeover_.epoch, gang ? attempts_ : ++attempts_);
+    auto attempt = gang ? *common : attemptOf(takeover_.epoch, ++attempts_);
     books_.place(job, index, *h, attempt, io_.now());
     books_.cached(*h, job.spec->image, job.spec->imageGb);
     h->attention = true;
@@ -172,7 +175,7 @@
 
 // A gang is placed whole: machines for all its members in one pass, or none of them. False: it is blocked.
 bool Scheduler::placeGang(Job& job) {
-  if (job.placed > 0) return true;  // what is left of an earlier try must go first
+  if (job.placed > 0 || job.recalling) return true;  // what is left of an earlier try must go first
   if (!fresh_.empty() && fresh_.size() + job.tasks.size() > roundWidth())
     return true;  // next round is its own
   auto all = static_cast<unsigned>(job.waiting.size());
@@ -186,6 +189,7 @@
 // A member is gone: the others can't go on without it and start anew with it.
 void Scheduler::gangBroken(Job& job) {
   if (job.spec->shape != Shape::Gang || job.status != JobStatus::Open) return;
+  if (job.remote > 0 && !job.delegation) planRecall(job);
   std::set<HostId> on;
   for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
     Host* h = job.tasks[i].host;
@@ -201,6 +205,8 @@
 bool Scheduler::zoneAllows(const Job& job, const Zone& zone, unsigned come) const {
   const auto& s = *job.spec;
   if (s.zone && *s.zone != zone) return false;
+  // The owner's share keeps to the rules about zones.
+  if (job.delegation) return !job.delegation->zone || *job.delegation->zone == zone;
   if (s.oneZone && !job.zones.empty() && (job.zones.size() > 1 || job.zones.begin()->first != zone))
     return false;
   if (!s.spread) return true;
--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -15,7 +15,8 @@
 
 constexpr Duration kAsksOthersAfter{30'000};  // without a start; long enough for a machine to boot
 constexpr Duration kReviewEvery{1'000};
-constexpr std::size_t kMostAsked = 8;  // jobs that room is looked for at a time
+constexpr std::size_t kMostAsked = 8;    // jobs that room is looked for at a time
+constexpr std::size_t kMostLooked = 64;  // jobs that may be among them
 constexpr Duration kOfferHolds{3'000};
 constexpr Duration kBetweenOffers{1'000};  // so that one room is not offered to many
 constexpr Duration kBeyondCancel{2'000};  // after cancel_s nothing of an aborted job is left, whoever runs it
@@ -23,27 +24,37 @@
 
 }  // namespace
 
-// Nothing of it is or was anywhere, its team is under its limit, and no machine of ours could take a task of
-// it.
-bool Scheduler::waitsInVain(const Job& job, Time now) const {
-  bool untouched = job.open() && job.placed == 0 && job.done == 0 && !job.waiting.empty();
-  if (!untouched || now < job.notBefore || now - std::max(job.since, job.placedLast) < kAsksOthersAfter)
-    return false;
-  return books_.withinLimit(job) && !anyRoom(job);
-}
-
-// The oldest of them.
-std::vector<const Job*> Scheduler::waitingInVain(Time now) const {
-  std::vector<const Job*> jobs;
-  for (const auto& [_, job] : books_.jobs())
-    if (waitsInVain(job, now)) jobs.push_back(&job);
-  auto most = std::min(jobs.size(), kMostAsked);
-  std::partial_sort(jobs.begin(), jobs.begin() + static_cast<std::ptrdiff_t>(most), jobs.end(),
+bool Scheduler::waitsLong(const Job& job, Time now) const {
+  return job.open() && !job.waiting.empty() && !job.delegation && !job.recalling && now >= job.notBefore &&
+         now - std::max(job.since, job.placedLast) >= kAsksOthersAfter;
+}
+
+// Its team is under its limit, and no machine of ours could take a task of it, or all of a gang.
+bool Scheduler::waitsInVain(const Job& job) const {
+  if (!books_.withinLimit(job)) return false;
+  if (job.spec->shape == Shape::Gang) return job.placed == 0 && roomFor(job) < job.waiting.size();
+  return !anyRoom(job);
+}
+
+// The oldest jobs that have waited long in vain, untouched ones or others: some tasks of those have begun, or
+// they must be placed whole. Only so many of the oldest are looked at, as under overload all wait.
+std::vector<Job*> Scheduler::oldestInVain(bool untouched, Time now) {
+  std::vector<Job*> waiting;
+  for (auto& [_, job] : books_.jobs()) {
+    if (!waitsLong(job, now)) continue;
+    bool begun = job.placed > 0 || job.done > 0 || job.remote > 0;
+    if (untouched ? !begun : begun || job.spec->shape == Shape::Gang) waiting.push_back(&job);
+  }
+  auto most = std::min(waiting.size(), kMostLooked);
+  std::partial_sort(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(most), waiting.end(),
                     [](const Job* a, const Job* b) {
                       return std::pair(a->submitted, a->id) < std::pair(b->submitted, b->id);
                     });
-  jobs.resize(most);
-  return jobs;
+  waiting.resize(most);
+  std::vector<Job*> inVain;
+  for (Job* job : waiting)
+    if (inVain.size() < kMostAsked && waitsInVain(*job)) inVain.push_back(job);
+  return inVain;
 }
 
 // Its transfer is about to be written, or on its way: no transaction writes a job's record twice.
@@ -62,7 +73,7 @@
   if (givingTo_ || gaveUpShare_) return;
   mesh::RoomWanted wanted;
   wanted.share = takeover_.share.value;
-  for (const Job* job : waitingInVain(now)) {
+  for (const Job* job : oldestInVain(true, now)) {
     if (transferPlanned(job->id)) continue;
     auto offer = offers_.find(job->id);
     auto atOnce = offer == offers_.end() ? std::nullopt : mayRunElsewhere(*job);
@@ -79,22 +90,27 @@
   if (!wanted.jobs.empty()) out_.wantRoom(wanted);
 }
 
-// How many of its tasks may be elsewhere at once, if the team's limit allows for any: all that it allows for,
-// as more room may come free there. Replicas and members of a gang are all to run together.
-std::optional<std::uint32_t> Scheduler::mayRunElsewhere(const Job& job) const {
+// How many more of its tasks its team's limit allows for.
+std::uint32_t Scheduler::tasksWithinLimit(const Job& job) const {
   const auto& spec = *job.spec;
-  if (job.atOnce) return job.atOnce;
-  auto wished = spec.tasks;
-  if (!job.team || wished == 0) return std::nullopt;
+  if (job.atOnce) return *job.atOnce - std::min(*job.atOnce, job.placed + job.remote);
+  if (!job.team) return 0;
   auto use = books_.teamUse(spec.team);
   auto fits = [&](double left, double each) {
-    return each > 0 ? std::floor((left + kLimitSlack) / each) : static_cast<double>(wished);
+    return each > 0 ? std::floor((left + kLimitSlack) / each) : static_cast<double>(spec.tasks);
   };
   double most = std::min(fits(job.team->coresMax - use.cores, spec.each.cores),
                          fits(job.team->gpusMax - use.gpus, spec.each.gpus));
-  if (most >= wished) return wished;
-  if (spec.shape != Shape::Array || most < 1) return std::nullopt;
-  return static_cast<std::uint32_t>(most);
+  return static_cast<std::uint32_t>(std::clamp(most, 0.0, static_cast<double>(spec.tasks)));
+}
+
+// How many of its tasks may be elsewhere at once, if the team's limit allows for any: all that it allows for,
+// as more room may come free there. Replicas and members of a gang are all to run together.
+std::optional<std::uint32_t> Scheduler::mayRunElsewhere(const Job& job) const {
+  if (job.atOnce) return job.atOnce;
+  auto most = tasksWithinLimit(job);
+  if (most == 0 || (most < job.spec->tasks && job.spec->shape != Shape::Array)) return std::nullopt;
+  return most;
 }
 
 // --- the share that has room ---
@@ -108,19 +124,18 @@
     bool theirs =
         known != dir_.jobs.end() && known->second.share == ShareNo{wanted.share} && known->second.spec;
     if (!theirs || known->second.status != JobStatus::Open) continue;
-    auto tasks = roomFor(id, known->second);
-    if (tasks == 0) continue;
+    Job job;
+    job.id = id;
+    job.spec = known->second.spec;
+    auto tasks = roomFor(job);
+    if (tasks == 0 || (job.spec->shape == Shape::Gang && tasks < job.spec->tasks)) continue;
     offeredAt_ = now;
     return out_.offerRoom({takeover_.share.value, wanted.share, name, tasks});
   }
 }
 
-// How many tasks of another share's job our machines have room for now, with up to K looked at in each pool.
-// Of a gang, all or none.
-std::uint32_t Scheduler::roomFor(const JobId& id, const KnownJob& known) const {
-  Job job;
-  job.id = id;
-  job.spec = known.spec;
+// How many of the job's tasks our machines have room for now, with up to K looked at in each pool.
+std::map<Zone, std::uint32_t> Scheduler::roomByZone(const Job& job) const {
   const auto& spec = *job.spec;
   std::map<Zone, std::uint32_t> found;
   for (const auto& pool : books_.pools()) {
@@ -134,13 +149,16 @@
         free -= spec.each;
     }
   }
+  return found;
+}
+
+std::uint32_t Scheduler::roomFor(const Job& job) const {
   std::uint32_t sum = 0, most = 0;
-  for (const auto& [_, n] : found) {
-    sum += n;
-    most = std::max(most, n);
+  for (const auto& [_, tasks] : roomByZone(job)) {
+    sum += tasks;
+    most = std::max(most, tasks);
   }
-  auto fits = std::min(spec.oneZone ? most : sum, spec.tasks);
-  return spec.shape == Shape::Gang && fits < spec.tasks ? 0 : fits;
+  return std::min(job.spec->oneZone ? most : sum, job.spec->tasks);
 }
 
 void Scheduler::roomOffered(const mesh::RoomOffer& offer) {
@@ -214,12 +232,22 @@
 // A new owner: what was transferred before its takeover is in view by then.
 void Scheduler::countAllElsewhere() {
   for (const auto& [id, known] : dir_.jobs) {
+    if (known.share == takeover_.share && known.status == JobStatus::Aborted) countDelegated(id, known);
     bool gone = known.share == takeover_.share || !known.spec || known.status == JobStatus::Done;
     if (gone || settings_.shareOfTeam(known.spec->team) != takeover_.share) continue;
     countElsewhere(id, *known.spec, known.atOnce.value_or(known.tasks), true);
   }
 }
 
+// What other shares had of a job of ours when it was aborted may still be there for a while.
+void Scheduler::countDelegated(const JobId& id, const KnownJob& known) {
+  std::size_t tasks = 0;
+  for (const auto& d : known.delegations) tasks += d.tasks.size();
+  bool counted = books_.job(id) || elsewhere_.count(id) > 0;
+  if (tasks == 0 || !known.spec || counted) return;
+  countElsewhere(id, *known.spec, static_cast<std::uint32_t>(tasks), true);
+}
+
 // Done: nothing of it is anywhere. Aborted: the other owner says when nothing is left, which is within
 // cancel_s of the commit that we see here.
 void Scheduler::releaseElsewhere(Time now) {
--- a/src/base/job.h
+++ b/src/base/job.h
@@ -63,6 +63,23 @@
   }
 };
 
+// Tasks of a job that another share places for the share that owns the job (DESIGN.md, invariant 18).
+struct Delegation {
+  ShareNo share;
+  std::optional<Zone> zone;  // the only one that they may be placed in, where the job's rules need one
+  std::vector<std::uint32_t> tasks;  // ascending
+  std::optional<Attempt> attempt{};  // of a gang: common to all its members
+  bool recalled = false;             // the owner asks for what is not done
+
+  bool covers(std::uint32_t index) const { return std::binary_search(tasks.begin(), tasks.end(), index); }
+};
+
+inline const Delegation* findDelegation(const std::vector<Delegation>& delegations, ShareNo share) {
+  for (const auto& d : delegations)
+    if (d.share == share) return &d;
+  return nullptr;
+}
+
 struct MachineType {
   std::string name;
   Resources size;
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -194,9 +194,53 @@
   }
 };
 
+// So many tasks of a job may go to a zone, or find room there. An empty name stands for all zones together.
+struct ZoneTasks {
+  std::string zone;
+  std::uint32_t tasks = 0;
+  template <class A>
+  void serialize(A& a) {
+    a(zone, tasks);
+  }
+};
+
+// Waiting tasks of a job that its share has no room for, while others of it are placed or done, or while it
+// must be placed whole.
+struct PartialRoomRequest {
+  std::string job;
+  std::uint32_t tasks = 0;
+  std::vector<ZoneTasks> zones;
+  template <class A>
+  void serialize(A& a) {
+    a(job, tasks, zones);
+  }
+};
+
+// From a share's owner to everybody.
+struct PartialRoomWanted {
+  std::uint32_t share = 0;
+  std::vector<PartialRoomRequest> jobs;
+  template <class A>
+  void serialize(A& a) {
+    a(share, jobs);
+  }
+};
+
+// The reply of another share's owner: its machines in that zone have room for so many of the tasks now.
+struct PartialRoomOffer {
+  std::uint32_t share = 0;    // whose machines they are
+  std::uint32_t toShare = 0;  // that asked
+  std::string job;
+  ZoneTasks room;
+  template <class A>
+  void serialize(A& a) {
+    a(share, toShare, job, room);
+  }
+};
+
 // New kinds go to the end: a controller of an earlier version refuses the frames that it does not know.
 using Payload = std::variant<Heartbeat, JobAsk, CheckInAsk, ProbeAsk, Answer, HostSeen, ShareLoad, HostWish,
-                             JobEnded, RoomWanted, RoomOffer>;
+                             JobEnded, RoomWanted, RoomOffer, PartialRoomWanted, PartialRoomOffer>;
 
 struct Frame {
   std::uint32_t from = 0;
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -98,9 +98,58 @@
   return doc ? countAt(*doc, "tenancy") : std::nullopt;
 }
 
+namespace {
+
+// Ascending numbers as the first and the last of each run of them.
+Json encodeRanges(const std::vector<std::uint32_t>& numbers) {
+  Json ranges = Json::array();
+  for (std::size_t i = 0; i < numbers.size();) {
+    std::size_t last = i;
+    while (last + 1 < numbers.size() && numbers[last + 1] == numbers[last] + 1) ++last;
+    ranges.push_back({numbers[i], numbers[last]});
+    i = last + 1;
+  }
+  return ranges;
+}
+
+std::optional<std::vector<std::uint32_t>> parseRanges(const Json& ranges) {
+  std::vector<std::uint32_t> numbers;
+  for (const auto& range : ranges) {
+    if (!range.is_array() || range.size() != 2 || !range[0].is_number_unsigned() ||
+        !range[1].is_number_unsigned())
+      return std::nullopt;
+    auto last = range[1].get<std::uint32_t>();
+    for (auto i = range[0].get<std::uint32_t>(); i <= last; ++i) numbers.push_back(i);
+  }
+  return numbers;
+}
+
+Json encodeDelegation(const Delegation& d) {
+  Json j{{"sh", d.share.value}, {"t", encodeRanges(d.tasks)}};
+  if (d.zone) j["zo"] = d.zone->value;
+  if (d.attempt) j["try"] = d.attempt->value;
+  if (d.recalled) j["back"] = true;
+  return j;
+}
+
+std::optional<Delegation> parseDelegation(const Json& j) {
+  auto share = countAt(j, "sh");
+  auto tasks = parseRanges(listAt(j, "t"));
+  if (!share || !tasks) return std::nullopt;
+  Delegation d{ShareNo{static_cast<std::uint32_t>(*share)}, std::nullopt, std::move(*tasks)};
+  if (auto zone = textAt(j, "zo")) d.zone = Zone{*zone};
+  if (auto attempt = countAt(j, "try")) d.attempt = Attempt{*attempt};
+  d.recalled = flagAt(j, "back").value_or(false);
+  return d;
+}
+
+}  // namespace
+
 std::string encodeJobRecord(const JobRecord& r) {
   Json j{{"st", static_cast<int>(r.status)}, {"sh", r.share.value}, {"n", r.tasks}};
   if (r.atOnce) j["most"] = *r.atOnce;
+  for (const auto& d : r.delegations) j["parts"].push_back(encodeDelegation(d));
+  if (!r.doneElsewhere.empty()) j["done"] = encodeRanges(r.doneElsewhere);
   if (r.spec) {
     const auto& s = *r.spec;
     j["at"] = r.submitted.value;
@@ -139,6 +188,14 @@
               {},
               {}};
   if (auto most = countAt(*doc, "most")) r.atOnce = static_cast<std::uint32_t>(*most);
+  for (const auto& part : listAt(*doc, "parts")) {
+    auto delegation = parseDelegation(part);
+    if (!delegation) return std::nullopt;
+    r.delegations.push_back(std::move(*delegation));
+  }
+  auto doneElsewhere = parseRanges(listAt(*doc, "done"));
+  if (!doneElsewhere) return std::nullopt;
+  r.doneElsewhere = std::move(*doneElsewhere);
   // An aborted job keeps its description: what it takes counts until its last task is known gone.
   if (r.status != JobStatus::Open && !doc->contains("spec")) return r;
   auto at = countAt(*doc, "at");
@@ -192,13 +249,9 @@
 std::size_t digits(std::uint64_t n) { return std::to_string(n).size(); }
 
 bool parseFacts(const Json& j, RunFacts& f) {
-  for (const auto& range : listAt(j, "d")) {
-    if (!range.is_array() || range.size() != 2 || !range[0].is_number_unsigned() ||
-        !range[1].is_number_unsigned())
-      return false;
-    auto last = range[1].get<std::uint32_t>();
-    for (auto i = range[0].get<std::uint32_t>(); i <= last; ++i) f.done.push_back(i);
-  }
+  auto done = parseRanges(listAt(j, "d"));
+  if (!done) return false;
+  f.done = std::move(*done);
   for (const auto& p : listAt(j, "p")) {
     if (!p.is_array() || p.size() != 3 || !p[0].is_number_unsigned() || !p[1].is_number_unsigned() ||
         !p[2].is_string())
@@ -220,17 +273,10 @@
 std::string encodePage(const PageRecord& r) {
   Json jobs = Json::object();
   for (const auto& [id, f] : r.jobs) {
-    Json done = Json::array();
-    for (std::size_t i = 0; i < f.done.size();) {
-      std::size_t last = i;
-      while (last + 1 < f.done.size() && f.done[last + 1] == f.done[last] + 1) ++last;
-      done.push_back({f.done[i], f.done[last]});
-      i = last + 1;
-    }
     Json placed = Json::array();
     for (const auto& p : f.placed) placed.push_back({p.index, p.attempt.value, p.host.value});
     Json j = Json::object();
-    if (!done.empty()) j["d"] = std::move(done);
+    if (!f.done.empty()) j["d"] = encodeRanges(f.done);
     if (!placed.empty()) j["p"] = std::move(placed);
     jobs[id.value] = std::move(j);
   }
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -54,6 +54,9 @@
   // Of a job that another share than its team's runs: so many of its tasks may be somewhere at once. The
   // team's own share counts them as in use (invariant 17). 0 once it is aborted and nothing of it is left.
   std::optional<std::uint32_t> atOnce{};
+  // Tasks that other shares place for the job's share, and those that they have completed (invariant 18).
+  std::vector<Delegation> delegations{};
+  std::vector<std::uint32_t> doneElsewhere{};  // ascending
 };
 std::string encodeJobRecord(const JobRecord& r);
 std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value);
--- a/tests/unit/recorded_examples_test.cpp
+++ b/tests/unit/recorded_examples_test.cpp
@@ -60,6 +60,35 @@
   EXPECT_FALSE(wire::parseJobRecord(JobId{"wk-000412"}, wire::encodeJobRecord(open))->atOnce);
 }
 
+TEST(Recorded, JobRecordsWithDelegations) {
+  wire::JobRecord open{JobStatus::Open, ShareNo{2}, 16, WallTime{1700}, spec(), {}};
+  open.delegations.push_back({ShareNo{1}, Zone{"a"}, {4, 5, 9}, Attempt{99}, true});
+  open.delegations.push_back({ShareNo{0}, std::nullopt, {7}});
+  open.doneElsewhere = {0, 1, 3};
+  auto text = wire::encodeJobRecord(open);
+  EXPECT_NE(text.find("\"done\":[[0,1],[3,3]]"), std::string::npos) << text;
+  EXPECT_NE(text.find("\"parts\":[{\"back\":true,\"sh\":1,\"t\":[[4,5],[9,9]],\"try\":99,\"zo\":\"a\"},"
+                      "{\"sh\":0,\"t\":[[7,7]]}]"),
+            std::string::npos)
+      << text;
+  auto back = wire::parseJobRecord(JobId{"wk-000412"}, text);
+  ASSERT_TRUE(back);
+  EXPECT_EQ(wire::encodeJobRecord(*back), text);
+  EXPECT_EQ(back->delegations.front().tasks, (std::vector<std::uint32_t>{4, 5, 9}));
+  EXPECT_TRUE(back->delegations.front().recalled);
+  EXPECT_FALSE(back->delegations.back().zone);
+}
+
+// A delegation that can't be read must not be taken for none: its tasks would be placed twice.
+TEST(Recorded, JobRecordWithUnreadableDelegationIsRefused) {
+  wire::JobRecord open{JobStatus::Open, ShareNo{2}, 16, WallTime{1700}, spec(), {}};
+  open.delegations.push_back({ShareNo{1}, std::nullopt, {4}});
+  auto text = wire::encodeJobRecord(open);
+  auto at = text.find("[[4,4]]");
+  ASSERT_NE(at, std::string::npos);
+  EXPECT_FALSE(wire::parseJobRecord(JobId{"wk-000412"}, text.replace(at, 7, "[[4]]")));
+}
+
 TEST(Recorded, Pages) {
   wire::PageRecord page;
   page.jobs[JobId{"wk-000412"}] = {{0, 1, 2, 7}, {{4, Attempt{99}, HostId{"host-000231"}}}};
@@ -115,6 +144,13 @@
             "010100000002000000090000000100000001000000000000000900000000000000776b2d303030343132");
   EXPECT_EQ(frameOf(mesh::RoomOffer{2, 1, "wk-000412", 4}),
             "0101000000020000000a00000002000000010000000900000000000000776b2d30303034313204000000");
+  EXPECT_EQ(frameOf(mesh::PartialRoomWanted{1, {{"wk-000412", 3, {{"a", 2}}}}}),
+            "0101000000020000000b00000001000000010000000000000009000000000000"
+            "00776b2d3030303431320300000001000000000000000100000000000000610200"
+            "0000");
+  EXPECT_EQ(frameOf(mesh::PartialRoomOffer{2, 1, "wk-000412", {"a", 2}}),
+            "0101000000020000000c0000000200000001000000090000000000000"
+            "0776b2d30303034313201000000000000006102000000");
 }
 
 }  // namespace
