--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -72,10 +72,11 @@
   Job* job = nullptr;
   Attempt attempt;
   bool committed = false;
-  bool wanted = true;     // false: it is to be stopped
-  bool restored = false;  // read from the store: a former owner may have sent its start
-  bool sent = false;      // we sent its start
-  bool shown = false;     // a report of this session showed it
+  bool wanted = true;       // false: it is to be stopped
+  bool mayNotSave = false;  // it is to be stopped at once, as others wait for its room
+  bool restored = false;    // read from the store: a former owner may have sent its start
+  bool sent = false;        // we sent its start
+  bool shown = false;       // a report of this session showed it
   wire::TaskPhase phase = wire::TaskPhase::Fetching;
   Serial checkInStart;  // the last check-in whose answer carried its start
   Time placedAt{};
@@ -156,6 +157,7 @@
   bool spot() const { return known.record.spot; }
   const Zone& zone() const { return known.record.zone; }
   Resources free() const { return size - used; }
+  double fetchS(const JobSpec& job) const { return fetchGbPerS > 0 ? job.imageGb / fetchGbPerS : 0; }
   // It takes new work.
   bool open() const {
     return heard && !stale && !leaving && !emptying && !reclaimAt &&
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -196,8 +196,10 @@
   std::vector<Host*> peekForRoom(const Job& job);
   std::optional<PlannedEviction> cheapestEviction(const Job& job, bool guaranteed,
                                                   const std::vector<Host*>& peeked, RoomToCome& room) const;
-  void carryOut(const PlannedEviction& plan, const Job& job, RoomToCome& room);
-  bool waitsForOthers(const Ranked& blocked) const;
+  bool leavesTimeToSave(const Ranked& claimant, const Host& h, const JobSpec& victim) const;
+  void carryOut(const PlannedEviction& plan, const Ranked& claimant, RoomToCome& room);
+  Duration patienceLeft(const Ranked& blocked) const;
+  void makeRoomIn(Duration wait);
   void makeRoom(const std::vector<Ranked>& blocked);
   void makeRoomFor(const Ranked& blocked, RoomToCome& room, unsigned& asked, std::set<HostId>& changed);
   // Transfers of jobs to other shares (invariant 17).
@@ -284,6 +286,7 @@
 
   Time lastRound_{};
   Time lastRoomMade_{};
+  std::optional<Time> roomDue_;  // when a round is to make room next
   Time loadSent_{};
   std::deque<TaskId> fresh_;  // tasks whose placement or completion is to be written
   std::set<JobId> ending_;    // jobs to write as done or aborted
--- a/src/actors/scheduler_commands.cpp
+++ b/src/actors/scheduler_commands.cpp
@@ -45,7 +45,7 @@
       if (!checkIn && now - p.stopSent < kStopAgain) continue;
       const auto& spec = *p.job->spec;
       // An aborted job's work is of no use to anyone, and nothing saves for ever.
-      bool saves = spec.snapshotEveryS > 0 && p.job->open() &&
+      bool saves = spec.snapshotEveryS > 0 && p.job->open() && !p.mayNotSave &&
                    (!sentBefore || now - p.stopSent < seconds(2 * spec.snapshotS + 5));
       out.push_back({Order::Verb::Stop, task, p.attempt, saves ? spec.snapshotS + 1 : 0});
       if (!sentBefore || !checkIn) p.stopSent = now;
--- a/src/actors/scheduler_preemption.cpp
+++ b/src/actors/scheduler_preemption.cpp
@@ -7,11 +7,13 @@
 
 namespace cherryloft {
 namespace {
+constexpr Duration kBetweenEvictions{250};    // what was stopped must be seen to be gone first
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
 constexpr double kPatience = 0.25;    // part of its aim for starts that a job waits before others give way
 constexpr double kLimitSlack = 1e-6;  // cores; sums of decimal numbers are not exact
 constexpr double kServiceLoss = 600;  // seconds of work that moving a replica counts as
 constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
+constexpr double kStartTakes = 0.5;   // seconds from what is stopped to what starts in its room
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
 }  // namespace
 
@@ -87,36 +89,74 @@
   return best;
 }
 
-void Scheduler::carryOut(const PlannedEviction& plan, const Job& job, RoomToCome& room) {
+// Whether what is stopped for a task on that machine may save: not if the task would then start too late for
+// its class's aim or its team's guarantee, and is in time otherwise.
+bool Scheduler::leavesTimeToSave(const Ranked& claimant, const Host& h, const JobSpec& victim) const {
+  const auto& spec = *claimant.job->spec;
+  auto aim = settings_.startWithin(spec.jobClass);
+  if (claimant.c.guaranteed && settings_.guaranteeWithinS)
+    aim = std::min(aim.value_or(*settings_.guaranteeWithinS), *settings_.guaranteeWithinS);
+  if (!aim) return true;
+  double fetch = claimant.job->holders->count(h.no) > 0 ? 0 : h.fetchS(spec);
+  double left = *aim - claimant.c.ageS - fetch - kStartTakes;
+  return left < 0 || victim.snapshotS <= left;
+}
+
+void Scheduler::carryOut(const PlannedEviction& plan, const Ranked& claimant, RoomToCome& room) {
+  const Job& job = *claimant.job;
   Host& h = *plan.host;
   for (const auto& task : plan.victims) {
     auto victim = h.placements.find(task);
     if (victim == h.placements.end()) continue;  // it went with another member of its gang
     log_->debug("{} gives way on {} to {}", wire::encodeTask(task), h.id.value, job.id.value);
-    room.of(h) += victim->second.job->spec->each;
+    const auto& spec = *victim->second.job->spec;
+    room.of(h) += spec.each;
+    victim->second.mayNotSave = !leavesTimeToSave(claimant, h, spec);
     stop(h, task, victim->second);
     ++spans_.evicted;
   }
   room.of(h) -= job.spec->each;
 }
 
-// In a large fleet room comes free all the time, and what is stopped is lost.
-bool Scheduler::waitsForOthers(const Ranked& blocked) const {
+// How long it still waits for others to end, as in a large fleet room comes free all the time, and what is
+// stopped is lost.
+Duration Scheduler::patienceLeft(const Ranked& blocked) const {
   auto within = settings_.startWithin(blocked.job->spec->jobClass);
-  return !within || blocked.c.ageS >= kPatience * *within;
+  if (!within) return Duration{0};
+  return std::max(seconds(kPatience * *within - blocked.c.ageS), Duration{0});
+}
+
+// A round of its own, as nothing else may happen until then.
+void Scheduler::makeRoomIn(Duration wait) {
+  auto due = io_.now() + wait;
+  if (roomDue_ && *roomDue_ <= due) return;
+  roomDue_ = due;
+  io_.after(wait, guarded([this, due] {
+              if (roomDue_ != due) return;
+              roomDue_.reset();
+              wake(false);
+            }));
 }
 
 // Stops what may be stopped for those who found no room, in their order, least lost work first.
 void Scheduler::makeRoom(const std::vector<Ranked>& blocked) {
+  if (blocked.empty()) return;
+  auto since = io_.now() - lastRoomMade_;
+  if (since < kBetweenEvictions) return makeRoomIn(kBetweenEvictions - since);
   RoomToCome room;
   std::set<HostId> changed;
   unsigned asked = 0;
   for (const auto& r : blocked) {
     if (asked >= kMostEvictionsAsked) break;
-    if (!books_.mayPreempt(r.job->spec->rank, r.c.guaranteed) || !waitsForOthers(r)) continue;
+    if (!books_.mayPreempt(r.job->spec->rank, r.c.guaranteed)) continue;
+    if (auto patience = patienceLeft(r); patience > Duration{0}) {
+      makeRoomIn(patience);
+      continue;
+    }
     lastRoomMade_ = io_.now();
     makeRoomFor(r, room, asked, changed);
   }
+  if (asked >= kMostEvictionsAsked) makeRoomIn(kBetweenEvictions);
   for (const auto& id : changed) direct(*books_.host(id));
 }
 
@@ -134,7 +174,7 @@
     if (!plan) return;
     // The holders are spoken for: the rest need not wait for them.
     if (tooSlow(job, *plan->host)) job.anyStartUntil = io_.now() + kAnyStart;
-    carryOut(*plan, job, room);
+    carryOut(*plan, blocked, room);
     if (!plan->victims.empty()) changed.insert(plan->host->id);
   }
 }
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -16,11 +16,6 @@
 constexpr double kLongRun = 0.7;  // part of what its aim allows that makes a task too long for a spot machine
 constexpr double kLostRun = 0.5;  // the same for age and run of a job that lost a task already
 constexpr double kNoHope = 1.3;
-constexpr Duration kBetweenEvictions{250};  // what was stopped must be seen to be gone first
-
-double fetchS(const Host& h, const JobSpec& job) {
-  return h.fetchGbPerS > 0 ? job.imageGb / h.fetchGbPerS : 0;
-}
 
 }  // namespace
 
@@ -113,7 +108,7 @@
   drawEverywhere_ = false;
   drawAt_.clear();
   if (roomless && keepEmptying()) return wake(true);
-  if (io_.now() - lastRoomMade_ >= kBetweenEvictions) makeRoom(blocked);
+  makeRoom(blocked);
   if (!list.empty()) drawEverywhere_ = true;  // these had no turn yet
 }
 
@@ -228,7 +223,7 @@
 // The start on a machine without the image would miss the class's aim by the fetch alone.
 bool Scheduler::tooSlow(const Job& job, const Host& h) const {
   auto within = settings_.startWithin(job.spec->jobClass);
-  return within && job.holders->count(h.no) == 0 && fetchS(h, *job.spec) > *within;
+  return within && job.holders->count(h.no) == 0 && h.fetchS(*job.spec) > *within;
 }
 
 // Room is short: machines that were to empty themselves take work again. True if there were any.
@@ -309,7 +304,7 @@
   bool aimed = settings_.startWithin(spec.jobClass).has_value();
   auto sortOthers = [&](std::vector<Host*>& list) {
     std::stable_sort(list.begin(), list.end(), [&](const Host* a, const Host* b) {
-      auto fa = aimed ? fetchS(*a, spec) : 0, fb = aimed ? fetchS(*b, spec) : 0;
+      auto fa = aimed ? a->fetchS(spec) : 0, fb = aimed ? b->fetchS(spec) : 0;
       return fa != fb ? fa < fb : better(job, *a, *b);
     });
   };
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -62,6 +62,7 @@
   void execute(const Json& orders, Ms givenAt);
   void start(const Key& k, std::uint64_t attempt, Ms givenAt);
   void fetched(const Key& k, std::uint64_t run);
+  void kill(const Key& k, double graceS);
   void end(const Key& k, const std::string& cause);
   void checkLease();
   void changed();
--- a/tests/world/scenario_setup.cpp
+++ b/tests/world/scenario_setup.cpp
@@ -106,6 +106,8 @@
   spec.image = cherryloft::ImageId{options.text("image", "img-1")};
   spec.imageGb = options.number("gb", 0.5);
   spec.expectS = options.number("expect", runS);
+  spec.snapshotEveryS = options.number("every", 0);
+  spec.snapshotS = options.number("save", 0);
   spec.lendable = options.has("lendable");
   spec.spread = options.has("spread");
   spec.oneZone = options.has("one_zone");
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -143,7 +143,7 @@
     bool same = it != tasks_.end() && it->second.attempt == attempt;
     auto verb = o["verb"].get<std::string>();
     if (verb == "start" && !same) start(k, attempt, givenAt);
-    if (verb == "kill" && same && !stubborn_ && it->second.state != "ended") end(k, "halted");
+    if (verb == "kill" && same && !stubborn_ && it->second.state != "ended") kill(k, o.value("grace_s", 0.0));
     if (verb == "forget" && same && it->second.state == "ended") tasks_.erase(it);
   }
 }
@@ -205,6 +205,23 @@
   changed();
 }
 
+// A running task with checkpoints saves if it is given the time; a second command without it ends the saving.
+void Worker::kill(const Key& k, double graceS) {
+  auto& held = tasks_.at(k);
+  const auto& spec = natures_.at(k.first).spec;
+  bool maySave = spec.snapshotEveryS > 0 && graceS >= spec.snapshotS;
+  if (held.state == "flushing" && graceS > 0) return;
+  if (held.state != "running" || !maySave) return end(k, "halted");
+  held.state = "flushing";
+  changed();
+  later(static_cast<Ms>(spec.snapshotS * 1000), [this, k, run = held.run] {
+    awake([this, k, run] {
+      auto it = tasks_.find(k);
+      if (it != tasks_.end() && it->second.run == run && it->second.state == "flushing") end(k, "halted");
+    });
+  });
+}
+
 void Worker::plant(const std::string& job, std::uint32_t index) {
   checker_.started(machine_, job, index, clock_.now());
 }
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -231,8 +231,8 @@
          {"spread", s.spread},
          {"lendable", s.lendable},
          {"expect_s", s.expectS},
-         {"snapshot_every_s", 0.0},
-         {"snapshot_s", 0.0},
+         {"snapshot_every_s", s.snapshotEveryS},
+         {"snapshot_s", s.snapshotS},
          {"due_s", nullptr},
          {"a_field_to_come", 1}};
   if (s.types) j["flavours"] = *s.types;
