--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -277,12 +277,14 @@
   return sum.fitsIn({job.team->coresMax, job.team->gpusMax, 0});
 }
 
-bool Books::aboveGuarantee(const Team& team) const { return teamUse(team.name).cores > team.cores + 1e-6; }
+bool Books::aboveGuarantee(const Team& team) const {
+  return teamUse(team.name).cores > team.cores + kResourceSlack;
+}
 
 bool Books::mayPreempt(Rank claimant, bool guaranteed) const {
   for (std::size_t r = 0; r < static_cast<std::size_t>(claimant); ++r)
-    if (usedByRank_[r] > 1e-6) return true;
-  return guaranteed && usedByRank_[static_cast<std::size_t>(claimant)] > 1e-6 &&
+    if (usedByRank_[r] > kResourceSlack) return true;
+  return guaranteed && usedByRank_[static_cast<std::size_t>(claimant)] > kResourceSlack &&
          std::any_of(byTeam_.begin(), byTeam_.end(), [&](const auto& t) {
            const Team* team = settings_.team(t.first);
            return team && aboveGuarantee(*team);
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -18,6 +18,7 @@
 namespace cherryloft {
 
 struct Host;
+struct Pool;
 // Machines by their number in the books, so that walks come in the same order every time.
 using HostSet = std::map<std::uint32_t, Host*>;
 
@@ -98,18 +99,6 @@
   std::list<std::pair<ImageId, double>> recent_;  // latest first
 };
 
-// Machines of one kind in one zone, by the cores that are free on them. Only open ones are in it.
-struct Pool {
-  std::string type;
-  Zone zone;
-  bool spot = false;
-  Resources size;
-  double fetchGbPerS = 0;
-  std::size_t machines = 0;  // open or not
-  std::size_t booting = 0;   // never heard yet, when last counted
-  std::map<std::pair<double, std::uint32_t>, Host*> byRoom;
-};
-
 struct Host {
   HostId id;
   std::uint32_t no = 0;
@@ -167,6 +156,32 @@
   Resources leavingRoom() const;
 };
 
+// Machines of one kind in one zone, by the cores that are free on them. Only open ones are in it.
+struct Pool {
+  std::string type;
+  Zone zone;
+  bool spot = false;
+  Resources size;
+  double fetchGbPerS = 0;
+  std::size_t machines = 0;  // open or not
+  std::size_t booting = 0;   // never heard yet, when last counted
+  using ByRoom = std::map<std::pair<double, std::uint32_t>, Host*>;
+  ByRoom byRoom;
+
+  // The fullest machine that has so many cores free; those after it have more.
+  ByRoom::const_iterator withRoom(double cores) const {
+    return byRoom.lower_bound({cores - kResourceSlack, 0});
+  }
+  // Whether a machine has room for such a task and allows it, with at most so many looked at.
+  template <class Allows>
+  bool anyRoom(const Resources& each, unsigned mostLooked, Allows allows) const {
+    auto at = withRoom(each.cores);
+    for (unsigned looked = 0; at != byRoom.end() && looked < mostLooked; ++at, ++looked)
+      if (each.fitsIn(at->second->free()) && allows(*at->second)) return true;
+    return false;
+  }
+};
+
 // A page as it is to be written: what is still true of it, and as many new facts as it has room for.
 struct PageDraft {
   PageNo number = 0;
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -9,6 +9,7 @@
 #include "actors/membership.h"
 #include "actors/spans.h"
 #include "actors/store.h"
+#include "actors/transaction_draft.h"
 #include "mesh/messages.h"
 #include "policy/coupling.h"
 #include "policy/order.h"
@@ -217,11 +218,11 @@
   void countAllElsewhere();
   void countDelegated(const JobId& id, const KnownJob& known);
   void releaseElsewhere(Time now);
-  void addTransfers(wire::Transaction& t, std::size_t& weight);
+  void addTransfers(TransactionDraft& draft);
   void transferred(const JobId& id);
   struct Left;
   static Left leftOf(const Job& job);
-  void addLeft(wire::Transaction& t, std::size_t& weight);
+  void addLeft(TransactionDraft& draft);
   // Delegations of tasks to other shares (invariant 18): of this share's jobs, ...
   struct PartialOffer;
   void reviewDelegations(Time now);
@@ -231,7 +232,7 @@
   void planRecall(Job& job);
   void resumeDelegations(Job& job);
   void undoPlan(Job& job, const std::vector<Delegation>& planned);
-  void addDelegations(wire::Transaction& t, std::size_t& weight);
+  void addDelegations(TransactionDraft& draft);
   struct DelegationWrite;
   std::optional<wire::JobRecord> recordWith(const Job& job, const DelegationWrite& change) const;
   void delegationsCommitted(const DelegationWrite& written, Version version);
@@ -243,7 +244,7 @@
   void abortDelegated(Job& job);
   std::vector<std::uint32_t> returnable(const Job& job, Time now) const;
   bool anyReturnable(Time now) const;
-  void addReturns(wire::Transaction& t, std::size_t& weight);
+  void addReturns(TransactionDraft& draft);
   struct DelegationReturn;
   void returnCommitted(const DelegationReturn& written, Version version);
   void stopTasks(const Job& job, std::set<HostId>& hosts);
@@ -251,12 +252,11 @@
   void commit();
   void commitAt(Time due);
   void committed(const TxnResult& r);
-  void addTerminal(wire::Transaction& t, std::size_t& weight);
-  void addPages(wire::Transaction& t, std::size_t& weight);
+  void addTerminal(TransactionDraft& draft);
+  void addPages(TransactionDraft& draft);
   void takeEffect(const TxnResult& r);
   std::size_t roundWidth() const;
   void cleanUp(Job& job);
-  bool fits(const wire::Transaction& t, std::size_t weight, const wire::Write& w) const;
   void answerCancelWaiters(Job& job, JobStatus s);
 
   const Settings& settings_;
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -9,11 +9,7 @@
 constexpr std::size_t kKeyWeight = 200;
 }  // namespace
 
-bool Scheduler::fits(const wire::Transaction& t, std::size_t weight, const wire::Write& w) const {
-  return t.apply.size() < settings_.txnOps && (t.apply.empty() || weight + wire::weightOf(w) <= kMostWeight);
-}
-
-void Scheduler::addTerminal(wire::Transaction& t, std::size_t& weight) {
+void Scheduler::addTerminal(TransactionDraft& draft) {
   for (auto it = ending_.begin(); it != ending_.end();) {
     Job* job = books_.job(*it);
     if (!job || job->status != JobStatus::Open) {
@@ -29,11 +25,7 @@
     if (!done) record.spec = *job->spec;
     if (!done) record.atOnce = job->atOnce;
     if (!done) record.delegations = job->delegations;
-    wire::Write w{keys::job(*it), wire::encodeJobRecord(record), {}};
-    if (!fits(t, weight, w)) return;
-    weight += wire::weightOf(w);
-    t.when[w.key] = job->version;
-    t.apply.push_back(std::move(w));
+    if (!draft.add({keys::job(*it), wire::encodeJobRecord(record), {}}, job->version)) return;
     flight_->ended.emplace_back(*it, record.status);
     it = ending_.erase(it);
   }
@@ -46,16 +38,13 @@
   return pages * std::max<std::size_t>(settings_.valueBytes / fact, 1);
 }
 
-void Scheduler::addPages(wire::Transaction& t, std::size_t& weight) {
+void Scheduler::addPages(TransactionDraft& draft) {
   std::set<PageNo> taken;
-  while (!fresh_.empty() && t.apply.size() < settings_.txnOps &&
-         (t.apply.empty() || weight + settings_.valueBytes + kKeyWeight <= kMostWeight)) {
+  while (!fresh_.empty() && draft.hasRoom(settings_.valueBytes + kKeyWeight)) {
     auto d = books_.draft(fresh_, taken);
     if (!d) continue;
-    wire::Write w{keys::page(takeover_.share, d->number), wire::encodePage(d->record), {}};
-    weight += wire::weightOf(w);
-    t.when[w.key] = books_.pages().at(d->number).version;
-    t.apply.push_back(std::move(w));
+    draft.add({keys::page(takeover_.share, d->number), wire::encodePage(d->record), {}},
+              books_.pages().at(d->number).version);
     flight_->pages.push_back(d->number);
     for (const auto& [job, facts] : d->record.jobs) {
       for (const auto& e : facts.placed)
@@ -76,27 +65,25 @@
     lastCommit_ = now;
     startsFresh_ = false;
     flight_.emplace();
-    auto& t = flight_->txn;
-    t.when[keys::share(takeover_.share)] = takeover_.version;
-    std::size_t weight = 0;
-    addTerminal(t, weight);
-    addTransfers(t, weight);
-    addLeft(t, weight);
-    addDelegations(t, weight);
-    addReturns(t, weight);
+    TransactionDraft draft(settings_.txnOps);
+    draft.require(keys::share(takeover_.share), takeover_.version);
+    addTerminal(draft);
+    addTransfers(draft);
+    addLeft(draft);
+    addDelegations(draft);
+    addReturns(draft);
     // A share that is to be handed back waits for nothing else: in a large one something is done at every
     // moment. The next owner learns from reports what is done, as nothing is forgotten before it is written
     // (invariant 8), and placements that were not written were not sent.
-    if (!givingTo_) addPages(t, weight);
+    if (!givingTo_) addPages(draft);
     auto& pages = books_.pages();
-    if (auto n = pages.spare({flight_->pages.begin(), flight_->pages.end()});
-        n && !t.apply.empty() && t.apply.size() < settings_.txnOps) {
-      wire::Write w{keys::page(takeover_.share, *n), std::nullopt, {}};
-      t.when[w.key] = pages.at(*n).version;
-      t.apply.push_back(std::move(w));
-      flight_->dropped.push_back(*n);
-    }
-    if (t.apply.empty()) {
+    auto spare = pages.spare({flight_->pages.begin(), flight_->pages.end()});
+    bool drops = spare && !draft.empty() &&
+                 draft.add({keys::page(takeover_.share, *spare), std::nullopt, {}}, pages.at(*spare).version);
+    if (drops) flight_->dropped.push_back(*spare);
+    bool nothing = draft.empty();
+    flight_->txn = draft.take();
+    if (nothing) {
       flight_.reset();
       if (givingTo_ && !gaveUpShare_) {
         // Nothing is on its way: let go. From here on this actor decides nothing.
--- a/src/actors/scheduler_delegation.cpp
+++ b/src/actors/scheduler_delegation.cpp
@@ -169,7 +169,7 @@
   return record;
 }
 
-void Scheduler::addDelegations(wire::Transaction& t, std::size_t& weight) {
+void Scheduler::addDelegations(TransactionDraft& draft) {
   for (auto it = delegationWrites_.begin(); it != delegationWrites_.end();) {
     Job* job = books_.job(it->first);
     if (!job || !job->open()) {
@@ -179,7 +179,8 @@
     }
     auto record = recordWith(*job, it->second);
     wire::Write w{keys::job(job->id), record ? wire::encodeJobRecord(*record) : "", {}};
-    if (!record || w.value->size() > settings_.valueBytes || !fits(t, weight, w)) {
+    bool small = record && w.value->size() <= settings_.valueBytes;
+    if (!small || !draft.add(std::move(w), job->version)) {
       if (it->second.recall) {
         ++it;  // its turn comes
         continue;
@@ -189,9 +190,6 @@
       it = delegationWrites_.erase(it);
       continue;
     }
-    weight += wire::weightOf(w);
-    t.when[w.key] = job->version;
-    t.apply.push_back(std::move(w));
     flight_->delegated.push_back(std::move(it->second));
     it = delegationWrites_.erase(it);
   }
@@ -333,7 +331,7 @@
   });
 }
 
-void Scheduler::addReturns(wire::Transaction& t, std::size_t& weight) {
+void Scheduler::addReturns(TransactionDraft& draft) {
   for (const auto& id : delegatedHere_) {
     Job* job = books_.job(id);
     auto known = dir_.jobs.find(id);
@@ -352,11 +350,7 @@
     for (auto index : tasks)
       if (job->tasks[index].state == TaskState::Done) record.doneElsewhere.push_back(index);
     std::sort(record.doneElsewhere.begin(), record.doneElsewhere.end());
-    wire::Write w{keys::job(id), wire::encodeJobRecord(record), {}};
-    if (!fits(t, weight, w)) return;
-    weight += wire::weightOf(w);
-    t.when[w.key] = job->version;
-    t.apply.push_back(std::move(w));
+    if (!draft.add({keys::job(id), wire::encodeJobRecord(record), {}}, job->version)) return;
     flight_->returned.push_back(std::move(written));
   }
 }
--- a/src/actors/scheduler_load.cpp
+++ b/src/actors/scheduler_load.cpp
@@ -42,15 +42,6 @@
       spans_.toCommitted.take(), spans_.toShown.take());
 }
 
-namespace {
-bool hasRoom(const Pool& p, const Resources& each) {
-  auto at = p.byRoom.lower_bound({each.cores - 1e-6, 0});
-  for (unsigned looked = 0; at != p.byRoom.end() && looked < kLooked; ++at, ++looked)
-    if (each.fitsIn(at->second->free())) return true;
-  return false;
-}
-}  // namespace
-
 // Zones that the job's next task may go to, if no machine in any of them could ever take it or, once it has
 // waited for a while, can take it now.
 void Scheduler::stuckZones(const Job& job, mesh::Demand& d) const {
@@ -62,7 +53,9 @@
       const auto& s = *job.spec;
       bool fits = p.zone == z && s.allowsType(p.type) && s.each.fitsIn(p.size) && (!p.spot || s.lendable);
       // One that boots is on its way; of others, after a while, only those with room count.
-      if (fits && (full ? p.booting > 0 || hasRoom(p, s.each) : p.machines > 0)) return;
+      if (fits && (full ? p.booting > 0 || p.anyRoom(s.each, kLooked, [](const Host&) { return true; })
+                        : p.machines > 0))
+        return;
     }
     open.push_back(z.value);
   }
@@ -103,7 +96,7 @@
     left[&d].second += cores;
     if (each.cores > 0) d.ramPerCore = std::max(d.ramPerCore, each.ram / each.cores);
     if (job.spec->types) d.types = *job.spec->types;
-    bool waits = !job.waiting.empty() && limit >= each.cores - 1e-6 && now >= job.notBefore;
+    bool waits = !job.waiting.empty() && limit >= each.cores - kResourceSlack && now >= job.notBefore;
     if (waits && (job.spec->spread || job.spec->zone || job.spec->oneZone)) stuckZones(job, d);
   }
   while (!arrivals_.empty() && now - arrivals_.front().at > kArrivalsKept) arrivals_.pop_front();
--- a/src/actors/scheduler_preemption.cpp
+++ b/src/actors/scheduler_preemption.cpp
@@ -10,7 +10,6 @@
 constexpr Duration kBetweenEvictions{250};    // what was stopped must be seen to be gone first
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
 constexpr double kPatience = 0.25;    // part of its aim for starts that a job waits before others give way
-constexpr double kLimitSlack = 1e-6;  // cores; sums of decimal numbers are not exact
 constexpr double kServiceLoss = 600;  // seconds of work that moving a replica counts as
 constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
 constexpr double kStartTakes = 0.5;   // seconds from what is stopped to what starts in its room
@@ -27,7 +26,7 @@
   for (const auto& [task, p] : h.placements) {
     const auto& other = *p.job->spec;
     const Team* t = settings_.team(other.team);
-    bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - 1e-6;
+    bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - kResourceSlack;
     bool sameTeam = other.team == job.spec->team;
     // What this very round placed is not stopped by it: the two would take turns for ever.
     if (!p.committed || !p.wanted ||
@@ -168,7 +167,7 @@
   auto peeked = peekForRoom(job);
   for (std::size_t n = 0; n < job.waiting.size() && asked < kMostEvictionsAsked; ++n) {
     headroom -= spec.each.cores;
-    if (headroom < -kLimitSlack) return;
+    if (headroom < -kResourceSlack) return;
     ++asked;
     auto plan = cheapestEviction(job, blocked.c.guaranteed, peeked, room);
     if (!plan) return;
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -153,7 +153,7 @@
 // Some pool has a machine with cores enough. While none has, no holder need be looked at either.
 bool Scheduler::anyFree(const Job& job) const {
   return std::any_of(books_.pools().begin(), books_.pools().end(), [&](const Pool& p) {
-    return !p.byRoom.empty() && p.byRoom.rbegin()->first.first >= job.spec->each.cores - 1e-6 &&
+    return !p.byRoom.empty() && p.byRoom.rbegin()->first.first >= job.spec->each.cores - kResourceSlack &&
            allowedIn(job, p);
   });
 }
@@ -211,13 +211,10 @@
 
 // Whether some machine could take the job's next task now, whatever the draw says.
 bool Scheduler::anyRoom(const Job& job) const {
-  for (const auto& p : books_.pools()) {
-    if (!allowedIn(job, p)) continue;
-    auto at = p.byRoom.lower_bound({job.spec->each.cores - 1e-6, 0});
-    for (unsigned looked = 0; at != p.byRoom.end() && looked < settings_.tuning.sample; ++at, ++looked)
-      if (job.spec->each.fitsIn(at->second->free()) && allowed(job, *at->second)) return true;
-  }
-  return false;
+  return std::any_of(books_.pools().begin(), books_.pools().end(), [&](const Pool& p) {
+    return allowedIn(job, p) &&
+           p.anyRoom(job.spec->each, settings_.tuning.sample, [&](const Host& h) { return allowed(job, h); });
+  });
 }
 
 // The start on a machine without the image would miss the class's aim by the fetch alone.
@@ -327,7 +324,7 @@
   std::vector<Walk> walks;
   for (const auto& p : books_.pools()) {
     if (!allowedIn(job, p)) continue;
-    auto at = p.byRoom.lower_bound({spec.each.cores - 1e-6, 0});
+    auto at = p.withRoom(spec.each.cores);
     if (at != p.byRoom.end()) walks.push_back({&p, at});
   }
   auto key = [&](const Walk& w) {
--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -20,7 +20,6 @@
 constexpr Duration kOfferHolds{3'000};
 constexpr Duration kBetweenOffers{1'000};  // so that one room is not offered to many
 constexpr Duration kBeyondCancel{2'000};  // after cancel_s nothing of an aborted job is left, whoever runs it
-constexpr double kLimitSlack = 1e-6;      // cores
 
 }  // namespace
 
@@ -97,7 +96,7 @@
   if (!job.team) return 0;
   auto use = books_.teamUse(spec.team);
   auto fits = [&](double left, double each) {
-    return each > 0 ? std::floor((left + kLimitSlack) / each) : static_cast<double>(spec.tasks);
+    return each > 0 ? std::floor((left + kResourceSlack) / each) : static_cast<double>(spec.tasks);
   };
   double most = std::min(fits(job.team->coresMax - use.cores, spec.each.cores),
                          fits(job.team->gpusMax - use.gpus, spec.each.gpus));
@@ -141,7 +140,7 @@
   for (const auto& pool : books_.pools()) {
     if (!allowedIn(job, pool)) continue;
     auto& inZone = found[pool.zone];
-    auto at = pool.byRoom.lower_bound({spec.each.cores - kLimitSlack, 0});
+    auto at = pool.withRoom(spec.each.cores);
     for (unsigned looked = 0; at != pool.byRoom.end() && looked < settings_.tuning.sample; ++at, ++looked) {
       auto free = at->second->free();
       if (!allowed(job, *at->second)) continue;
@@ -170,7 +169,7 @@
 
 // --- the write, and what it means for the team's limit ---
 
-void Scheduler::addTransfers(wire::Transaction& t, std::size_t& weight) {
+void Scheduler::addTransfers(TransactionDraft& draft) {
   for (const auto& transfer : std::exchange(transfers_, {})) {
     const Job* job = books_.job(transfer.job);
     bool still = job && job->open() && job->placed == 0 && job->done == 0 && job->cancelWaiters.empty();
@@ -181,16 +180,13 @@
       if (!home) record.atOnce = transfer.atOnce;
       w = {keys::job(job->id), wire::encodeJobRecord(record), {}};
     }
-    if (!still || w.value->size() > settings_.valueBytes || !fits(t, weight, w)) {
+    if (!still || w.value->size() > settings_.valueBytes || !draft.add(std::move(w), job->version)) {
       if (auto counted = elsewhere_.find(transfer.job); counted != elsewhere_.end()) {
         books_.uncountElsewhere(counted->second.team, counted->second.sum);
         elsewhere_.erase(counted);
       }
       continue;
     }
-    weight += wire::weightOf(w);
-    t.when[w.key] = job->version;
-    t.apply.push_back(std::move(w));
     flight_->transferred.push_back(job->id);
     log_->info("job {} goes to share {}, {} tasks at once", job->id.value, transfer.to.value,
                transfer.atOnce);
@@ -203,14 +199,10 @@
 }
 
 // A record that does not get its turn now is left as it is: the team's own share then waits for cancel_s.
-void Scheduler::addLeft(wire::Transaction& t, std::size_t& weight) {
+void Scheduler::addLeft(TransactionDraft& draft) {
   for (auto& left : std::exchange(left_, {})) {
     left.record.share = takeover_.share;
-    wire::Write w{keys::job(left.job), wire::encodeJobRecord(left.record), {}};
-    if (!fits(t, weight, w)) continue;
-    weight += wire::weightOf(w);
-    t.when[w.key] = left.version;
-    t.apply.push_back(std::move(w));
+    draft.add({keys::job(left.job), wire::encodeJobRecord(left.record), {}}, left.version);
   }
 }
 
--- /dev/null
+++ b/src/actors/transaction_draft.h
@@ -0,0 +1,29 @@
+// A transaction that grows write by write within the state service's limits.
+#pragma once
+
+#include "wire/store.h"
+
+namespace cherryloft {
+
+class TransactionDraft {
+ public:
+  // mostWrites: how many the state service takes in one transaction.
+  explicit TransactionDraft(std::size_t mostWrites) : mostWrites_(mostWrites) {}
+
+  // A condition without a write.
+  void require(const std::string& key, Version version) { transaction_.when[key] = version; }
+  // Whether a write of so many bytes can still be added. The first always can, as it could never be sent
+  // otherwise.
+  bool hasRoom(std::size_t bytes) const;
+  // Adds a write on condition that its key has that version. False, and nothing is added, if it does not fit.
+  bool add(wire::Write write, Version version);
+  bool empty() const { return transaction_.apply.empty(); }
+  wire::Transaction take() { return std::move(transaction_); }
+
+ private:
+  std::size_t mostWrites_;
+  std::size_t bytes_ = 0;
+  wire::Transaction transaction_;
+};
+
+}  // namespace cherryloft
--- a/src/base/job.h
+++ b/src/base/job.h
@@ -14,6 +14,9 @@
 enum class Shape : std::uint8_t { Array, Service, Gang };
 enum class JobStatus : std::uint8_t { Open, Done, Aborted };
 
+// Sums of decimal numbers are not exact: what is missing by less does not count.
+inline constexpr double kResourceSlack = 1e-6;
+
 struct Resources {
   double cores = 0;
   double gpus = 0;
@@ -30,10 +33,9 @@
   friend Resources operator+(Resources a, const Resources& b) { return a += b; }
   friend Resources operator-(Resources a, const Resources& b) { return a -= b; }
   friend Resources operator*(Resources a, double n) { return {a.cores * n, a.gpus * n, a.ram * n}; }
-  // A hair of slack, as sums of decimal numbers are not exact.
   bool fitsIn(const Resources& o) const {
-    constexpr double eps = 1e-6;
-    return cores <= o.cores + eps && gpus <= o.gpus + eps && ram <= o.ram + eps;
+    return cores <= o.cores + kResourceSlack && gpus <= o.gpus + kResourceSlack &&
+           ram <= o.ram + kResourceSlack;
   }
 };
 
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -110,7 +110,7 @@
       return std::any_of(f.hosts.begin(), f.hosts.end(), [&](const auto& h) {
         // One that boots is not used yet; those that are up and full help nobody.
         return h.counts && h.zone == z && (!h.spot || w == &f.lendable) &&
-               h.cores - h.usedCores >= w->largestTask - 1e-6;
+               h.cores - h.usedCores >= w->largestTask - kResourceSlack;
       });
     };
     if (w->stuckZones.empty() || std::any_of(w->stuckZones.begin(), w->stuckZones.end(), covered)) continue;
