--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -90,7 +90,6 @@
   use_[job.spec->team] -= job.spec->each;
   auto& task = job.tasks[index];
   task.state = done ? TaskState::Done : TaskState::Waiting;
-  task.doneCommitted = done;
   if (done)
     ++job.done;
   else
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -234,6 +234,7 @@
   void undoPlan(Job& job, const std::vector<Delegation>& planned);
   void addDelegations(TransactionDraft& draft);
   struct DelegationWrite;
+  bool staysWithinValue(const wire::JobRecord& record) const;
   std::optional<wire::JobRecord> recordWith(const Job& job, const DelegationWrite& change) const;
   void delegationsCommitted(const DelegationWrite& written, Version version);
   void ownedJobChanged(Job& job, const KnownJob& known);
--- a/src/actors/scheduler_delegation.cpp
+++ b/src/actors/scheduler_delegation.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kBetweenOffers{1'000};  // so that one room is not offered to many
 constexpr Duration kReturnsAfter{30'000};  // what found no room for so long goes back to the owner
 constexpr std::uint32_t kMostDelegated = 64;
+constexpr std::size_t kTaskBytes = 16;  // at most, of a task by itself in a list of a job's record
 
 // Where its tasks may go depends on where its others are.
 bool boundToZones(const JobSpec& spec) { return spec.spread || spec.oneZone; }
@@ -154,6 +155,13 @@
   std::sort(job.waiting.begin(), job.waiting.end());
 }
 
+// Whatever the delegates give back, done or not, the record must stay within a value.
+bool Scheduler::staysWithinValue(const wire::JobRecord& record) const {
+  std::size_t tasks = 0;
+  for (const auto& d : record.delegations) tasks += d.tasks.size();
+  return wire::encodeJobRecord(record).size() + tasks * kTaskBytes <= settings_.valueBytes;
+}
+
 // The job's record as it is known, with the change; nothing while the directory lags behind our own writes.
 std::optional<wire::JobRecord> Scheduler::recordWith(const Job& job, const DelegationWrite& change) const {
   auto known = dir_.jobs.find(job.id);
@@ -166,6 +174,11 @@
   record.delegations.insert(record.delegations.end(), change.planned.begin(), change.planned.end());
   if (change.recall)
     for (auto& d : record.delegations) d.recalled = true;
+  // What pages tell by now.
+  std::erase_if(record.doneElsewhere, [&](auto index) {
+    const auto& task = job.tasks[index];
+    return task.doneCommitted && task.page != kNoPage;
+  });
   return record;
 }
 
@@ -179,8 +192,8 @@
     }
     auto record = recordWith(*job, it->second);
     wire::Write w{keys::job(job->id), record ? wire::encodeJobRecord(*record) : "", {}};
-    bool small = record && w.value->size() <= settings_.valueBytes;
-    if (!small || !draft.add(std::move(w), job->version)) {
+    bool mayGrow = record && (it->second.recall || staysWithinValue(*record));
+    if (!mayGrow || !draft.add(std::move(w), job->version)) {
       if (it->second.recall) {
         ++it;  // its turn comes
         continue;
@@ -216,6 +229,7 @@
       if ((now && now->covers(index)) || job.tasks[index].state != TaskState::Remote) continue;
       bool done = std::binary_search(known.doneElsewhere.begin(), known.doneElsewhere.end(), index);
       books_.remoteBack(job, index, before.zone, done);
+      if (done) fresh_.push_back({job.id, index});  // for a page, so that the record need not keep it
       notDone |= !done;
       any = true;
     }
