--- a/src/actors/fleet.h
+++ b/src/actors/fleet.h
@@ -43,7 +43,7 @@
                   const std::map<ShareNo, policy::Targets>& targets);
   static std::vector<ShareNo> byPressure(const std::map<ShareNo, policy::ShareFleet>& fleets,
                                          const std::map<ShareNo, policy::Targets>& targets);
-  void emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
+  void emptySome(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t);
   double comingTo(ShareNo to);
   void move(const std::map<ShareNo, policy::ShareFleet>& fleets,
             const std::map<ShareNo, policy::Targets>& targets, bool beat);
--- a/src/actors/fleet_planning.cpp
+++ b/src/actors/fleet_planning.cpp
@@ -11,8 +11,9 @@
 constexpr Duration kCedeAgain{20'000};
 constexpr Duration kMoveTakes{20'000};  // after which a machine asked to move is taken to stay
 constexpr double kMinIdleS = 10;
-constexpr double kMinAgeS = 60;      // what the cloud charges at least
-constexpr unsigned kMostLetGo = 20;  // idle machines of a share in a turn
+constexpr double kMinAgeS = 60;          // what the cloud charges at least
+constexpr unsigned kMostLetGo = 20;      // idle machines of a share in a turn
+constexpr std::size_t kMostEmptied = 8;  // busy ones
 
 }  // namespace
 
@@ -148,19 +149,19 @@
     log_->info("letting go of idle {}", want.id.value);
     out_.wish({k.value, want.id.value, mesh::HostWish::Return, 0});
   }
-  if (gone == 0) emptyOne(k, f, t);
+  emptySome(k, f, t);
 }
 
-// Consolidates: a machine that the others can do without takes no more work.
-void Fleet::emptyOne(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t) {
-  auto busy = policy::toEmpty(f, t, prices_, kMinAgeS);
-  if (!busy) return;
-  const auto& want = f.hosts[*busy];
+// Consolidates: machines that the others can do without take no more work.
+void Fleet::emptySome(ShareNo k, const policy::ShareFleet& f, const policy::Targets& t) {
+  std::set<std::string> chosen;
+  for (auto index : policy::toEmpty(f, t, prices_, kMinAgeS, kMostEmptied))
+    chosen.insert(f.hosts[index].id.value);
   for (auto& h : loads_[k].load.hosts) {
-    if (h.host != want.id.value) continue;
+    if (chosen.count(h.host) == 0) continue;
     h.emptying = true;
     log_->info("share {} empties {}", k.value, h.host);
-    return out_.wish({k.value, h.host, mesh::HostWish::Empty, 0});
+    out_.wish({k.value, h.host, mesh::HostWish::Empty, 0});
   }
 }
 
--- a/src/actors/scheduler_load.cpp
+++ b/src/actors/scheduler_load.cpp
@@ -112,7 +112,7 @@
   for (const auto& l : leaving_)
     (l.lendable ? load.lendable : load.firm).leaving += l.cores / inSeconds(kLeavingKept);
   // Machines in plain use are not named, but for the few of each kind with least on them: those are let go of
-  // first.
+  // first. Replicas do not end by themselves, and where they are their images are, for new ones.
   std::vector<const Host*> named;
   std::array<std::vector<const Host*>, 2> busy;
   for (const auto& [_, h] : books_.hosts())
@@ -121,7 +121,8 @@
     auto few = std::min(kBusyNamed, kind.size());
     std::partial_sort(kind.begin(), kind.begin() + static_cast<std::ptrdiff_t>(few), kind.end(),
                       [](const Host* a, const Host* b) {
-                        return std::pair(a->used.cores, a->no) < std::pair(b->used.cores, b->no);
+                        return std::tuple(a->replicaCores > 0, a->used.cores, a->no) <
+                               std::tuple(b->replicaCores > 0, b->used.cores, b->no);
                       });
     named.insert(named.end(), kind.begin(), kind.begin() + static_cast<std::ptrdiff_t>(few));
   }
--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -12,6 +12,7 @@
 constexpr double kPaidS = 55;       // the cloud charges a minute at least
 constexpr double kMostAtOnce = 50;  // machines that one request may ask for
 constexpr double kSurplus = 0.1;  // share of the total that must be left over before a machine empties itself
+constexpr double kBusyRoom = 1.35;       // of what is there and comes: beyond it a fleet is far too large
 constexpr double kSteadySurplus = 0.02;  // the same in a large fleet, and two machines
 
 struct Capacity {
@@ -88,6 +89,7 @@
   // Arrays end about as fast as they come, so what is there tells what will be needed.
   t.total = need + f.firm.arriving * bootS + f.firm.largestTask + f.lendable.largestTask;
   double lendable = f.lendable.used + f.lendable.waiting;
+  t.busy = kBusyRoom * t.total;
   t.ample = t.total + lendable * spareShare * std::max(0.0, ratio - 1);
   // What is there, or about to be, frees room at least as fast as its tasks take on average.
   double turnover = f.lendable.leaving;
@@ -185,27 +187,38 @@
   return best;
 }
 
-std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog,
-                                   double minAgeS) {
-  // An idle machine will go first; nothing need be moved for it.
-  if (letGo(f, t, catalog, 0, coresOf(f))) return std::nullopt;
+std::vector<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                 double minAgeS, std::size_t most) {
+  bool anyIdle = letGo(f, t, catalog, 0, coresOf(f)).has_value();
   auto have = capacityOf(f);
-  std::optional<std::size_t> best;
-  double bestGain = 0;
+  std::vector<std::pair<double, std::size_t>> choices;  // what is gained by each
   for (std::size_t i = 0; i < f.hosts.size(); ++i) {
     const auto& h = f.hosts[i];
-    if (!h.counts || h.emptying || h.pinned || h.idleS >= 0 || h.ageS < minAgeS) continue;
+    if (!h.counts) continue;
+    // Idle machines will go first; nothing need be moved for them.
+    if (h.idleS >= 0) (h.spot ? have.spot : have.ordinary) -= h.cores;
+    if (h.emptying || h.pinned || h.idleS >= 0 || h.ageS < minAgeS) continue;
+    // Dear machines with little on them first.
+    if (const auto* type = findType(catalog, h.type))
+      choices.emplace_back((h.spot ? type->spotPrice : type->price) / (h.usedCores + 1), i);
+  }
+  std::stable_sort(choices.begin(), choices.end(),
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<std::size_t> chosen;
+  for (const auto& [_, i] : choices) {
+    if (chosen.size() >= most) break;
+    const auto& h = f.hosts[i];
     double keep = h.spot ? t.ample : t.total;
-    if (have.ordinary + have.spot - h.cores < keep + surplus(keep, catalog)) continue;
+    double left = have.ordinary + have.spot - h.cores;
+    if (left < keep + surplus(keep, catalog)) continue;
     if (!h.spot && have.ordinary - h.cores < t.ordinary) continue;
-    const auto* type = findType(catalog, h.type);
-    // Dear machines with little on them first.
-    double gain = type ? (h.spot ? type->spotPrice : type->price) / (h.usedCores + 1) : 0;
-    if (gain <= bestGain) continue;
-    best = i;
-    bestGain = gain;
+    // Near the target one at a time: what is emptied in vain is missed where work comes in bursts.
+    bool single = left < t.busy;
+    if (single && (anyIdle || !chosen.empty())) continue;
+    (h.spot ? have.spot : have.ordinary) -= h.cores;
+    chosen.push_back(i);
   }
-  return best;
+  return chosen;
 }
 
 }  // namespace cherryloft::policy
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -45,6 +45,7 @@
   double ordinary = 0;  // cores of ordinary machines at least
   double total = 0;     // cores in all, for which ordinary machines are rented too
   double ample = 0;     // cores in all as long as they are cheap
+  double busy = 0;      // cores in all above which several busy machines are emptied at a time
 };
 // Room for what is there, for what comes while a machine boots, and for one more task of each kind; beyond
 // that, the cheaper spot machines are, the more room is kept on them.
@@ -79,8 +80,9 @@
 // How much of what a share wants it lacks: 1 is balance.
 double pressure(const ShareFleet& f, const Targets& t);
 
-// Index of a busy machine that should take no more work, as the others have room enough for all.
-std::optional<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog,
-                                   double minAgeS);
+// Indices of busy machines that should take no more work, as the others have room enough for all without
+// those that are idle: the dearest for what runs on them first, and at most so many.
+std::vector<std::size_t> toEmpty(const ShareFleet& f, const Targets& t, const Catalog& catalog,
+                                 double minAgeS, std::size_t most);
 
 }  // namespace cherryloft::policy
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -111,6 +111,33 @@
   EXPECT_NE(letGo(f, targets(f, catalog, 0, 0), catalog, 10, 1000), std::optional<std::size_t>(1));
 }
 
+// Guards against a fleet that stays large after a burst: one busy machine a turn, and none while any is idle,
+// kept thousands of cores for minutes after their work had ended.
+TEST(Fleet, EmptiesSeveralBusyMachinesWhenFarTooLarge) {
+  Catalog catalog{{"l", {32, 0, 128}, 50, 1, 2.18, 0.61, 20, {Zone{"a"}}}};
+  ShareFleet f;
+  f.firm.used = 160;
+  FleetHost busy{"l", Zone{"a"}, false, 32, true, -1, 8, 100};
+  f.hosts.assign(20, busy);
+  f.hosts[0].idleS = 5;
+  f.hosts[1].pinned = true;
+  f.hosts[2].usedCores = 1;
+  auto t = targets(f, catalog, 0, 0);
+  auto chosen = toEmpty(f, t, catalog, 60, 4);
+  ASSERT_EQ(chosen.size(), 4U);
+  EXPECT_EQ(chosen.front(), 2U);  // the least runs there
+  EXPECT_EQ(std::count(chosen.begin(), chosen.end(), 0U) + std::count(chosen.begin(), chosen.end(), 1U), 0);
+  // Nothing is emptied below what is needed, however many may be.
+  auto all = toEmpty(f, t, catalog, 60, 20);
+  EXPECT_GE(coresOf(f) - 32.0 * static_cast<double>(all.size()), t.total);
+  // Near the target one at a time, and none while an idle machine can go.
+  f.hosts.resize(8, busy);
+  f.hosts[0].idleS = -1;
+  EXPECT_EQ(toEmpty(f, t, catalog, 60, 4).size(), 1U);
+  f.hosts[0].idleS = 5;
+  EXPECT_TRUE(toEmpty(f, t, catalog, 60, 4).empty());
+}
+
 TEST(Settings, SharesAndTimes) {
   world::Deployment d;
   d.types = {};
