--- a/src/actors/scheduler_delegation.cpp
+++ b/src/actors/scheduler_delegation.cpp
@@ -103,14 +103,17 @@
     if (left == 0) break;
   }
   auto planned = delegationWrites_.find(job.id);
-  if (planned == delegationWrites_.end()) return false;
-  if (gang && left > 0) {
+  bool any = planned != delegationWrites_.end();
+  if (any && !(gang && left > 0)) {
+    job.placedLast = now;  // the rest waits anew
+    return true;
+  }
+  job.gangAttempt.reset();  // a try of its own, here or elsewhere, has an attempt of its own
+  if (any) {
     undoPlan(job, planned->second.planned);
     delegationWrites_.erase(planned);
-    return false;
   }
-  job.placedLast = now;  // the rest waits anew
-  return true;
+  return false;
 }
 
 void Scheduler::delegate(Job& job, const PartialOffer& offer, std::uint32_t most) {
@@ -140,6 +143,7 @@
 
 // Of a gang whose members here are not placed a former owner may have tried some: it starts anew as a whole.
 void Scheduler::resumeDelegations(Job& job) {
+  if (job.delegation && job.delegation->recalled) recallDelegated(job);
   if (job.delegation || job.remote == 0 || job.spec->shape != Shape::Gang) return;
   bool recalled = std::any_of(job.delegations.begin(), job.delegations.end(),
                               [](const Delegation& d) { return d.recalled; });
@@ -275,7 +279,7 @@
   delegatedHere_.insert(id);
   // A gang's attempt is tried once; whether a former owner of this share did is not known.
   if (!loaded_ && delegation.attempt) job.begun = true;
-  if (delegation.recalled) recallDelegated(job);
+  if (loaded_ && delegation.recalled) recallDelegated(job);  // else once what is placed is restored
   return job;
 }
 
