--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -171,13 +171,16 @@
 // A gang is placed whole: machines for all its members in one pass, or none of them. False: it is blocked.
 bool Scheduler::placeGang(Job& job) {
   if (job.placed > 0 || job.recalling) return true;  // what is left of an earlier try must go first
+  if (job.delegation && job.begun) return true;      // its attempt was tried: it goes back to its owner
   if (!fresh_.empty() && fresh_.size() + job.tasks.size() > roundWidth())
     return true;  // next round is its own
   auto all = static_cast<unsigned>(job.waiting.size());
+  auto placedLast = job.placedLast;
   if (placeSome(job, all) == all) return true;
   for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
     if (Host* h = job.tasks[i].host) books_.gone(*h, TaskId{job.id, i}, io_.now());
   std::sort(job.waiting.begin(), job.waiting.end());
+  job.placedLast = placedLast;  // it waits on
   return false;
 }
 
