--- a/src/policy/fleet.cpp
+++ b/src/policy/fleet.cpp
@@ -12,7 +12,10 @@
 constexpr double kPaidS = 55;       // the cloud charges a minute at least
 constexpr double kMostAtOnce = 50;  // machines that one request may ask for
 constexpr double kSurplus = 0.1;  // share of the total that must be left over before a machine empties itself
-constexpr double kBusyRoom = 1.35;       // of what is there and comes: beyond it a fleet is far too large
+// A fleet is far too large beyond so many times what is there and comes, and some machines: in a small one
+// replicas would move in vain.
+constexpr double kBusyRoom = 1.35;
+constexpr double kBusyMachines = 8;
 constexpr double kSteadySurplus = 0.02;  // the same in a large fleet, and two machines
 
 struct Capacity {
@@ -89,7 +92,9 @@
   // Arrays end about as fast as they come, so what is there tells what will be needed.
   t.total = need + f.firm.arriving * bootS + f.firm.largestTask + f.lendable.largestTask;
   double lendable = f.lendable.used + f.lendable.waiting;
-  t.busy = kBusyRoom * t.total;
+  double largest = 0;
+  for (const auto& type : catalog) largest = std::max(largest, type.size.cores);
+  t.busy = kBusyRoom * t.total + kBusyMachines * largest;
   t.ample = t.total + lendable * spareShare * std::max(0.0, ratio - 1);
   // What is there, or about to be, frees room at least as fast as its tasks take on average.
   double turnover = f.lendable.leaving;
