Limits: the lower of the state service's limits of now and later holds from the start

Settings take the lower of each limit; machine groups that have outgrown a value are parted in the write that changes them; an aborted record keeps what its last tasks take; a page whose standing facts do not fit stays as it is; a repeated submission of an accepted job is looked up before its length refuses it. 400 without a hold is an outcome of its own.

--- a/src/actors/api.cpp
+++ b/src/actors/api.cpp
@@ -68,8 +68,9 @@
   wire::JobRecord record{JobStatus::Open, settings_.shareOfTeam(spec.team), spec.tasks, io_.wall(), {}};
   record.spec = std::move(spec);
   auto value = wire::encodeJobRecord(record);
+  // It may have been accepted under a former, larger limit.
   if (value.size() > settings_.valueBytes)
-    return done(wire::userError(400, "the job's description is too long"));
+    return refuse(id, 400, "the job's description is too long", std::move(done));
   store_.create({keys::job(id), value, {}}, kCreate, [this, id, value, done = std::move(done)](TxnResult r) {
     switch (r.outcome) {
       case TxnResult::Outcome::Ok:
--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -352,8 +352,10 @@
     return true;
   };
   auto& page = pages_.at(d.number);
+  // What still stands of a page that was written under a larger limit may not fit any more: it stays as it
+  // is.
   for (const auto& id : page.members)
-    if (stands(id, d.number)) add(id);
+    if (stands(id, d.number) && !add(id)) return std::nullopt;
   auto old = d.members.size();
   while (!fresh.empty()) {
     auto id = fresh.front();
--- /dev/null
+++ b/src/actors/group_rewrite.cpp
@@ -0,0 +1,61 @@
+#include "actors/group_rewrite.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "actors/directory.h"
+
+namespace cherryloft {
+namespace {
+
+// Of the keys that a group's members could name, one that is free: groups made of parts have no epoch of
+// their own that would make the first member's key unique.
+std::string freeKey(const wire::GroupRecord& group, const GroupExists& exists) {
+  for (const auto& member : group.members) {
+    auto key = keys::group(member.id, group.token);
+    if (!exists(key)) return key;
+  }
+  return keys::group(group.members.front().id, group.token);
+}
+
+VersionedWrite creation(const wire::GroupRecord& group, const GroupExists& exists) {
+  return {{freeKey(group, exists), wire::encodeGroup(group), {}}, Version{0}};
+}
+
+}  // namespace
+
+std::vector<wire::GroupRecord> splitToFit(const wire::GroupRecord& group, std::size_t valueBytes) {
+  std::vector<wire::GroupRecord> parts;
+  auto rest = group;
+  while (!rest.members.empty()) {
+    auto part = rest;
+    while (part.members.size() > 1 && wire::encodeGroup(part).size() > valueBytes) part.members.pop_back();
+    auto taken = static_cast<std::ptrdiff_t>(part.members.size());
+    rest.members.erase(rest.members.begin(), rest.members.begin() + taken);
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
+std::vector<VersionedWrite> rewriteGroup(const std::string& key, Version version,
+                                         const wire::GroupRecord& group, std::size_t valueBytes,
+                                         const GroupExists& exists) {
+  std::vector<VersionedWrite> writes;
+  for (const auto& part : splitToFit(group, valueBytes)) {
+    if (writes.empty())
+      writes.push_back({{key, wire::encodeGroup(part), {}}, version});
+    else
+      writes.push_back(creation(part, exists));
+  }
+  if (writes.empty()) writes.push_back({{key, std::nullopt, {}}, version});
+  return writes;
+}
+
+std::vector<VersionedWrite> createGroup(const wire::GroupRecord& group, std::size_t valueBytes,
+                                        const GroupExists& exists) {
+  std::vector<VersionedWrite> writes;
+  for (const auto& part : splitToFit(group, valueBytes)) writes.push_back(creation(part, exists));
+  return writes;
+}
+
+}  // namespace cherryloft
--- a/src/actors/machine_returns.cpp
+++ b/src/actors/machine_returns.cpp
@@ -2,6 +2,7 @@
 
 #include <map>
 
+#include "actors/group_rewrite.h"
 #include "wire/cloud.h"
 
 namespace cherryloft {
@@ -80,41 +81,36 @@
   for (const auto& id : ids)
     if (auto host = directory.hosts.find(id); host != directory.hosts.end())
       byGroup[host->second.group].insert(id);
-  wire::Transaction transaction;
-  std::size_t weight = 0;
+  TransactionDraft draft(context_.settings.txnOps);
   std::vector<HostId> written;
-  transaction.when[keys::kLeader] = directory.leader->version;
+  draft.require(keys::kLeader, directory.leader->version);
+  auto exists = [&](const std::string& key) { return directory.groups.count(key) > 0; };
   // What is dropped frees tasks; what is only marked can wait.
   auto most = change == Change::Drop ? context_.settings.txnOps : context_.store.unhurried();
   for (const auto& [key, changed] : byGroup) {
-    if (transaction.apply.size() >= most || weight + context_.settings.valueBytes > wire::kMostWeight) break;
+    if (draft.writes() >= most) break;
     auto group = directory.group(key);
     if (group.members.empty()) continue;
-    transaction.when[key] = directory.hosts.at(group.members.front().id).version;
-    auto write = rewritten(key, std::move(group), changed, change);
-    weight += wire::weightOf(write);
-    transaction.apply.push_back(std::move(write));
+    auto version = directory.hosts.at(group.members.front().id).version;
+    applyChange(group, changed, change);
+    if (!draft.addAll(rewriteGroup(key, version, group, context_.settings.valueBytes, exists))) break;
     written.insert(written.end(), changed.begin(), changed.end());
   }
-  if (transaction.apply.empty()) return {};
+  if (draft.empty()) return {};
   // In turn with the commits of our own share, never before all of them: where machines come and go by the
   // hundreds this alone would take all changes there are.
-  context_.store.txn(Urgency::Work, transaction, kRewriteDeadline, std::move(done));
+  context_.store.txn(Urgency::Work, draft.take(), kRewriteDeadline, std::move(done));
   return written;
 }
 
-wire::Write MachineReturns::rewritten(const std::string& key, wire::GroupRecord group,
-                                      const std::set<HostId>& changed, Change change) {
+void MachineReturns::applyChange(wire::GroupRecord& group, const std::set<HostId>& changed, Change change) {
   auto isChanged = [&](const auto& member) { return changed.count(member.id) > 0; };
   if (change == Change::Drop) {
     std::erase_if(group.members, isChanged);
-  } else {
-    for (auto& member : group.members)
-      if (isChanged(member)) member.phase = wire::HostPhase::Returning;
+    return;
   }
-  wire::Write write{key, std::nullopt, {}};
-  if (!group.members.empty()) write.value = wire::encodeGroup(group);
-  return write;
+  for (auto& member : group.members)
+    if (isChanged(member)) member.phase = wire::HostPhase::Returning;
 }
 
 }  // namespace cherryloft
--- a/src/actors/machine_returns.h
+++ b/src/actors/machine_returns.h
@@ -35,8 +35,7 @@
   void noteReturned(const HostId& id);
   std::vector<HostId> rewrite(const std::set<HostId>& ids, Change change,
                               std::function<void(const TxnResult&)> done);
-  static wire::Write rewritten(const std::string& key, wire::GroupRecord group,
-                               const std::set<HostId>& changed, Change change);
+  static void applyChange(wire::GroupRecord& group, const std::set<HostId>& changed, Change change);
 
   const FleetContext& context_;
   Freed freed_;
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -136,7 +136,17 @@
   bool mayLeave(const Host& h) const;
   void settleEmptying(Host& h);
   std::optional<std::vector<TaskId>> movableReplicas(const Host& h) const;
+  // What is to change in a machine group's record.
+  struct GroupChange {
+    std::set<HostId> back;                                   // to the cloud
+    std::map<std::int32_t, std::vector<const Host*>> moved;  // by the share that they go to
+  };
+  std::map<std::string, GroupChange> groupChanges(Time now);
   void settleRecords(Time now);
+  bool addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change,
+                      Epoch token) const;
+  std::vector<VersionedWrite> groupWrites(const std::string& key, const GroupChange& change,
+                                          Epoch token) const;
   void recordsWritten(const TxnResult& r);
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
@@ -221,7 +231,7 @@
   void addTransfers(TransactionDraft& draft);
   void transferred(const JobId& id);
   struct Left;
-  static Left leftOf(const Job& job);
+  Left leftOf(const Job& job) const;
   void addLeft(TransactionDraft& draft);
   // Delegations of tasks to other shares (invariant 18): of this share's jobs, ...
   struct PartialOffer;
@@ -253,6 +263,8 @@
   void commit();
   void commitAt(Time due);
   void committed(const TxnResult& r);
+  wire::JobRecord doneRecord(const Job& job) const;
+  wire::JobRecord abortedRecord(const Job& job) const;
   void addTerminal(TransactionDraft& draft);
   void addPages(TransactionDraft& draft);
   void takeEffect(const TxnResult& r);
@@ -357,7 +369,7 @@
   struct Left {
     JobId job;
     Version version;
-    wire::JobRecord record;
+    std::string value;
   };
   std::vector<Left> left_;
   Time transfersReviewed_{};
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -9,6 +9,15 @@
 constexpr std::size_t kKeyWeight = 200;
 }  // namespace
 
+wire::JobRecord Scheduler::doneRecord(const Job& job) const {
+  return {JobStatus::Done, takeover_.share, static_cast<std::uint32_t>(job.tasks.size()), job.submitted, {}};
+}
+
+wire::JobRecord Scheduler::abortedRecord(const Job& job) const {
+  auto tasks = static_cast<std::uint32_t>(job.tasks.size());
+  return {JobStatus::Aborted, takeover_.share, tasks, job.submitted, *job.spec, job.atOnce, job.delegations};
+}
+
 void Scheduler::addTerminal(TransactionDraft& draft) {
   for (auto it = ending_.begin(); it != ending_.end();) {
     Job* job = books_.job(*it);
@@ -17,16 +26,10 @@
       continue;
     }
     bool done = job->done == job->tasks.size();
-    wire::JobRecord record{done ? JobStatus::Done : JobStatus::Aborted,
-                           takeover_.share,
-                           static_cast<std::uint32_t>(job->tasks.size()),
-                           job->submitted,
-                           {}};
-    if (!done) record.spec = *job->spec;
-    if (!done) record.atOnce = job->atOnce;
-    if (!done) record.delegations = job->delegations;
-    if (!draft.add({keys::job(*it), wire::encodeJobRecord(record), {}}, job->version)) return;
-    flight_->ended.emplace_back(*it, record.status);
+    auto value = done ? wire::encodeJobRecord(doneRecord(*job))
+                      : wire::encodeWithin(abortedRecord(*job), settings_.valueBytes);
+    if (!draft.add({keys::job(*it), std::move(value), {}}, job->version)) return;
+    flight_->ended.emplace_back(*it, done ? JobStatus::Done : JobStatus::Aborted);
     it = ending_.erase(it);
   }
 }
@@ -126,6 +129,9 @@
       commitNotBefore_ = io_.now() + Duration{60 + rng_() % 120};
       io_.after(Duration{190}, guarded([this] { commit(); }));
       return;
+    case O::Rejected:
+      log_->error("share {}: the state service takes no transaction of that size", takeover_.share.value);
+      return out_.abandon();
     case O::Conflict:
     case O::NoHold:
       log_->info("share {}: conflict on {}", takeover_.share.value,
--- a/src/actors/scheduler_delegation.cpp
+++ b/src/actors/scheduler_delegation.cpp
@@ -196,7 +196,8 @@
     }
     auto record = recordWith(*job, it->second);
     wire::Write w{keys::job(job->id), record ? wire::encodeJobRecord(*record) : "", {}};
-    bool mayGrow = record && (it->second.recall || staysWithinValue(*record));
+    bool mayGrow =
+        record && (it->second.recall ? w.value->size() <= settings_.valueBytes : staysWithinValue(*record));
     if (!mayGrow || !draft.add(std::move(w), job->version)) {
       if (it->second.recall) {
         ++it;  // its turn comes
@@ -368,7 +369,10 @@
     for (auto index : tasks)
       if (job->tasks[index].state == TaskState::Done) record.doneElsewhere.push_back(index);
     std::sort(record.doneElsewhere.begin(), record.doneElsewhere.end());
-    if (!draft.add({keys::job(id), wire::encodeJobRecord(record), {}}, job->version)) return;
+    wire::Write write{keys::job(id), wire::encodeJobRecord(record), {}};
+    // One that was written under a larger limit waits until it has shrunk, or its job is over.
+    if (write.value->size() > settings_.valueBytes) continue;
+    if (!draft.add(std::move(write), job->version)) return;
     flight_->returned.push_back(std::move(written));
   }
 }
--- a/src/actors/scheduler_moves.cpp
+++ b/src/actors/scheduler_moves.cpp
@@ -1,13 +1,9 @@
-// What becomes of the scheduler's machines: the leader's wishes, emptying, and what their records say.
+// What becomes of the scheduler's machines: the leader's wishes, and emptying.
 #include <algorithm>
 
 #include "actors/scheduler.h"
 
 namespace cherryloft {
-namespace {
-constexpr Duration kAddressesTogether{3'000};
-}  // namespace
-
 void Scheduler::wish(const mesh::HostWish& w) {
   Host* h = books_.host(HostId{w.host});
   if (!loaded_ || !owns() || !h || h->leaving) return;
@@ -86,90 +82,4 @@
   return h.giveTo && h.placements.empty() && h.settled() && !h.directBusy;
 }
 
-// What the records should say of our machines: addresses, who is returned, who moves to another share. A
-// fleet boots and goes in groups, so one write tells of many.
-void Scheduler::settleRecords(Time now) {
-  if (recordsBusy_ || now < recordsNotBefore_) return;
-  struct Change {
-    std::vector<Host*> back;
-    std::map<std::int32_t, std::vector<Host*>> moved;
-  };
-  std::map<std::string, Change> changes;
-  for (auto& [_, h] : books_.hosts()) {
-    if (h.known.record.phase != wire::HostPhase::InUse) continue;
-    if (h.returnNow || (mayLeave(h) && *h.giveTo < 0))
-      changes[h.known.group].back.push_back(&h);
-    else if (mayLeave(h))
-      changes[h.known.group].moved[*h.giveTo].push_back(&h);
-    else if (h.heard && h.address != h.known.record.address) {
-      // Those of a group come up one after the other.
-      if (addressSince_ == Time{}) addressSince_ = now;
-      if (now - addressSince_ >= kAddressesTogether) changes[h.known.group];
-    }
-  }
-  if (changes.empty()) return;
-  // A move draws an epoch, for which shares compete; what only goes back does not wait for that.
-  bool anyMoves =
-      std::any_of(changes.begin(), changes.end(), [](const auto& c) { return !c.second.moved.empty(); });
-  bool anyElse =
-      std::any_of(changes.begin(), changes.end(), [](const auto& c) { return c.second.moved.empty(); });
-  bool moves = anyMoves && (!anyElse || !recordsMoved_);
-  recordsMoved_ = moves;
-  wire::Transaction t;
-  std::size_t weight = 0;
-  t.when[keys::share(takeover_.share)] = takeover_.version;
-  // What we sent under our token must have no effect under the next owner's (invariant 5).
-  Epoch token{dir_.epoch.value + 1};
-  auto most = store_.unhurried();
-  for (const auto& [key, c] : changes) {
-    if (!t.apply.empty() && t.apply.size() >= most) break;
-    if (c.moved.empty() == moves) continue;
-    if (t.apply.size() + 2 + c.moved.size() > settings_.txnOps ||
-        weight + 2 * settings_.valueBytes > wire::kMostWeight)
-      break;
-    auto known = dir_.groups.find(key);
-    auto group = dir_.group(key);
-    if (known == dir_.groups.end() || group.members.empty()) continue;
-    auto version = dir_.hosts.at(group.members.front().id).version;
-    std::set<HostId> back, gone;
-    for (const Host* h : c.back) back.insert(h->id);
-    for (const auto& [to, hosts] : c.moved) {
-      auto there = group;
-      there.share = ShareNo{static_cast<std::uint32_t>(to)};
-      there.token = token;
-      there.members.clear();
-      for (const Host* h : hosts) {
-        gone.insert(h->id);
-        there.members.push_back({h->id, wire::HostPhase::InUse, h->address});
-      }
-      auto name = keys::group(hosts.front()->id, token);
-      t.when[name] = Version{0};
-      t.apply.push_back({name, wire::encodeGroup(there), {}});
-    }
-    std::erase_if(group.members, [&](const auto& m) { return gone.count(m.id) > 0; });
-    for (auto& m : group.members) {
-      if (back.count(m.id) > 0) m.phase = wire::HostPhase::Returning;
-      if (const Host* h = books_.host(m.id); h && !h->address.empty()) m.address = h->address;
-    }
-    t.when[key] = version;
-    wire::Write w{key, std::nullopt, {}};
-    if (!group.members.empty()) w.value = wire::encodeGroup(group);
-    weight += wire::weightOf(w);
-    t.apply.push_back(std::move(w));
-    if (!c.moved.empty() && t.when.emplace(keys::kEpoch, dir_.epochVersion).second)
-      t.apply.push_back({keys::kEpoch, wire::encodeCounter(token), {}});
-  }
-  if (t.apply.empty()) return;
-  addressSince_ = Time{};
-  recordsBusy_ = true;
-  store_.txn(Urgency::Work, t, Duration{2'000}, guarded([this](TxnResult r) { recordsWritten(r); }));
-}
-
-void Scheduler::recordsWritten(const TxnResult& r) {
-  recordsBusy_ = false;
-  // The directory is to show what was written before it is looked at again.
-  recordsNotBefore_ = io_.now() + Duration{300};
-  if (std::count(r.failed.begin(), r.failed.end(), keys::share(takeover_.share)) > 0) out_.abandon();
-}
-
 }  // namespace cherryloft
--- /dev/null
+++ b/src/actors/scheduler_records.cpp
@@ -0,0 +1,112 @@
+// What the records say of the scheduler's machines: addresses, who is returned, who moves to another share.
+#include <algorithm>
+#include <utility>
+
+#include "actors/group_rewrite.h"
+#include "actors/scheduler.h"
+
+namespace cherryloft {
+namespace {
+constexpr Duration kAddressesTogether{3'000};
+constexpr Duration kRecordsDeadline{2'000};
+constexpr Duration kUntilRecordsShow{300};
+}  // namespace
+
+// What is to change in the machine groups, by their keys.
+std::map<std::string, Scheduler::GroupChange> Scheduler::groupChanges(Time now) {
+  std::map<std::string, GroupChange> changes;
+  for (auto& [_, h] : books_.hosts()) {
+    if (h.known.record.phase != wire::HostPhase::InUse) continue;
+    if (h.returnNow || (mayLeave(h) && *h.giveTo < 0)) {
+      changes[h.known.group].back.insert(h.id);
+    } else if (mayLeave(h)) {
+      changes[h.known.group].moved[*h.giveTo].push_back(&h);
+    } else if (h.heard && h.address != h.known.record.address) {
+      // Those of a group come up one after the other.
+      if (addressSince_ == Time{}) addressSince_ = now;
+      if (now - addressSince_ >= kAddressesTogether) changes[h.known.group];
+    }
+  }
+  return changes;
+}
+
+// A fleet boots and goes in groups, so one write tells of many.
+void Scheduler::settleRecords(Time now) {
+  if (recordsBusy_ || now < recordsNotBefore_) return;
+  auto changes = groupChanges(now);
+  if (changes.empty()) return;
+  // A move draws an epoch, for which shares compete; what only goes back does not wait for that.
+  auto hasMoves = [](const auto& change) { return !change.second.moved.empty(); };
+  bool anyMoves = std::any_of(changes.begin(), changes.end(), hasMoves);
+  bool allMove = std::all_of(changes.begin(), changes.end(), hasMoves);
+  bool moves = anyMoves && (allMove || !recordsMoved_);
+  recordsMoved_ = moves;
+  TransactionDraft draft(settings_.txnOps);
+  draft.require(keys::share(takeover_.share), takeover_.version);
+  // What we sent under our token must have no effect under the next owner's (invariant 5).
+  Epoch token{dir_.epoch.value + 1};
+  if (moves) draft.add({keys::kEpoch, wire::encodeCounter(token), {}}, dir_.epochVersion);
+  auto before = draft.writes();
+  auto most = store_.unhurried();
+  for (auto& [key, change] : changes) {
+    if (draft.writes() > before && draft.writes() >= most) break;
+    if (change.moved.empty() == moves) continue;
+    if (!addGroupChange(draft, key, change, token)) break;
+  }
+  if (draft.writes() == before) return;
+  addressSince_ = Time{};
+  recordsBusy_ = true;
+  store_.txn(Urgency::Work, draft.take(), kRecordsDeadline,
+             guarded([this](TxnResult r) { recordsWritten(r); }));
+}
+
+// Of a group whose machines go to more shares than fit the transaction, those of the first go now.
+bool Scheduler::addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change,
+                               Epoch token) const {
+  if (draft.addAll(groupWrites(key, change, token))) return true;
+  while (change.moved.size() > 1) {
+    change.moved.erase(std::prev(change.moved.end()));
+    if (draft.addAll(groupWrites(key, change, token))) return true;
+  }
+  return false;
+}
+
+std::vector<VersionedWrite> Scheduler::groupWrites(const std::string& key, const GroupChange& change,
+                                                   Epoch token) const {
+  auto group = dir_.group(key);
+  if (group.members.empty()) return {};
+  auto version = dir_.hosts.at(group.members.front().id).version;
+  auto exists = [&](const std::string& other) { return dir_.groups.count(other) > 0; };
+  std::vector<VersionedWrite> writes;
+  std::set<HostId> gone;
+  for (const auto& [to, hosts] : change.moved) {
+    auto there = group;
+    there.share = ShareNo{static_cast<std::uint32_t>(to)};
+    there.token = token;
+    there.members.clear();
+    for (const Host* h : hosts) {
+      gone.insert(h->id);
+      there.members.push_back({h->id, wire::HostPhase::InUse, h->address});
+    }
+    auto created = createGroup(there, settings_.valueBytes, exists);
+    writes.insert(writes.end(), created.begin(), created.end());
+  }
+  std::erase_if(group.members, [&](const auto& m) { return gone.count(m.id) > 0; });
+  for (auto& m : group.members) {
+    if (change.back.count(m.id) > 0) m.phase = wire::HostPhase::Returning;
+    if (auto h = books_.hosts().find(m.id); h != books_.hosts().end() && !h->second.address.empty())
+      m.address = h->second.address;
+  }
+  auto rewritten = rewriteGroup(key, version, group, settings_.valueBytes, exists);
+  writes.insert(writes.end(), rewritten.begin(), rewritten.end());
+  return writes;
+}
+
+void Scheduler::recordsWritten(const TxnResult& r) {
+  recordsBusy_ = false;
+  // The directory is to show what was written before it is looked at again.
+  recordsNotBefore_ = io_.now() + kUntilRecordsShow;
+  if (std::count(r.failed.begin(), r.failed.end(), keys::share(takeover_.share)) > 0) out_.abandon();
+}
+
+}  // namespace cherryloft
--- a/src/actors/scheduler_transfers.cpp
+++ b/src/actors/scheduler_transfers.cpp
@@ -193,17 +193,17 @@
   }
 }
 
-Scheduler::Left Scheduler::leftOf(const Job& job) {
-  auto tasks = static_cast<std::uint32_t>(job.tasks.size());
-  return {job.id, job.version, {JobStatus::Aborted, ShareNo{}, tasks, job.submitted, *job.spec, 0}};
+Scheduler::Left Scheduler::leftOf(const Job& job) const {
+  auto record = abortedRecord(job);
+  record.atOnce = 0;
+  record.delegations.clear();
+  return {job.id, job.version, wire::encodeWithin(std::move(record), settings_.valueBytes)};
 }
 
 // A record that does not get its turn now is left as it is: the team's own share then waits for cancel_s.
 void Scheduler::addLeft(TransactionDraft& draft) {
-  for (auto& left : std::exchange(left_, {})) {
-    left.record.share = takeover_.share;
-    draft.add({keys::job(left.job), wire::encodeJobRecord(left.record), {}}, left.version);
-  }
+  for (auto& left : std::exchange(left_, {}))
+    draft.add({keys::job(left.job), std::move(left.value), {}}, left.version);
 }
 
 void Scheduler::transferred(const JobId& id) {
--- a/src/actors/store_client.cpp
+++ b/src/actors/store_client.cpp
@@ -1,5 +1,6 @@
 #include "actors/store_client.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -11,7 +12,8 @@
 
 std::string prefixOf(const std::string& key) { return key.substr(0, key.find('/') + 1); }
 
-TxnResult txnAnswered(const HttpResponse& response) {
+// A transaction whose keys hang on a hold is small: 400 tells that the hold is gone.
+TxnResult txnAnswered(const HttpResponse& response, bool onHold) {
   TxnResult out;
   switch (response.status) {
     case 200:
@@ -25,7 +27,7 @@
       out.failed = wire::parseFailed(response.body);
       break;
     case 400:
-      out.outcome = TxnResult::Outcome::NoHold;
+      out.outcome = onHold ? TxnResult::Outcome::NoHold : TxnResult::Outcome::Rejected;
       break;
     case 429:
     case 503:
@@ -37,12 +39,12 @@
   return out;
 }
 
-TxnResult txnResultOf(const HttpResult& result) {
+TxnResult txnResultOf(const HttpResult& result, bool onHold) {
   TxnResult out;
   if (result.outcome == HttpResult::Outcome::NotSent)
     out.outcome = TxnResult::Outcome::Refused;
   else if (result.outcome == HttpResult::Outcome::Answered)
-    out = txnAnswered(result.response);
+    out = txnAnswered(result.response, onHold);
   return out;
 }
 
@@ -80,8 +82,11 @@
   for (const auto& write : transaction.apply) ++tally_.changes[prefixOf(write.key)];
   HttpRequest request{"POST", "/txn", wire::encodeTransaction(transaction), false};
   auto changes = static_cast<unsigned>(transaction.apply.size());
-  queue_.push(urgency, {"txn", std::move(request), changes}, deadline,
-              [done = std::move(done)](const HttpResult& result) { done(txnResultOf(result)); });
+  bool onHold = std::any_of(transaction.apply.begin(), transaction.apply.end(),
+                            [](const auto& write) { return write.hold.has_value(); });
+  queue_.push(
+      urgency, {"txn", std::move(request), changes}, deadline,
+      [done = std::move(done), onHold](const HttpResult& result) { done(txnResultOf(result, onHold)); });
 }
 
 void StoreClient::get(Urgency urgency, const std::string& key, Duration deadline,
--- a/src/actors/store_client.h
+++ b/src/actors/store_client.h
@@ -17,7 +17,8 @@
     Ok,
     Conflict,  // not executed, failed names the keys
     NoHold,    // not executed, the hold is gone
-    Refused,   // not executed
+    Refused,   // not executed, may be sent again
+    Rejected,  // not executed, and never will be as it is: beyond the limits of the service
     Unknown,   // may have been executed, or may be yet
   };
   Outcome outcome = Outcome::Unknown;
--- a/src/actors/transaction_draft.cpp
+++ b/src/actors/transaction_draft.cpp
@@ -2,6 +2,8 @@
 
 namespace cherryloft {
 
+std::size_t TransactionDraft::writes() const { return transaction_.apply.size(); }
+
 bool TransactionDraft::hasRoom(std::size_t bytes) const {
   return transaction_.apply.size() < mostWrites_ && (empty() || bytes_ + bytes <= wire::kMostWeight);
 }
@@ -15,4 +17,17 @@
   return true;
 }
 
+bool TransactionDraft::addAll(const std::vector<VersionedWrite>& writes) {
+  std::size_t bytes = 0;
+  for (const auto& [write, _] : writes) bytes += wire::weightOf(write);
+  if (transaction_.apply.size() + writes.size() > mostWrites_) return false;
+  if (!empty() && bytes_ + bytes > wire::kMostWeight) return false;
+  bytes_ += bytes;
+  for (const auto& [write, version] : writes) {
+    transaction_.when[write.key] = version;
+    transaction_.apply.push_back(write);
+  }
+  return true;
+}
+
 }  // namespace cherryloft
--- a/src/actors/transaction_draft.h
+++ b/src/actors/transaction_draft.h
@@ -1,10 +1,18 @@
 // A transaction that grows write by write within the state service's limits.
 #pragma once
 
+#include <vector>
+
 #include "wire/store.h"
 
 namespace cherryloft {
 
+// A write on condition that its key has that version.
+struct VersionedWrite {
+  wire::Write write;
+  Version version;
+};
+
 class TransactionDraft {
  public:
   // mostWrites: how many the state service takes in one transaction.
@@ -17,6 +25,9 @@
   bool hasRoom(std::size_t bytes) const;
   // Adds a write on condition that its key has that version. False, and nothing is added, if it does not fit.
   bool add(wire::Write write, Version version);
+  // The same for writes that must be carried out together.
+  bool addAll(const std::vector<VersionedWrite>& writes);
+  std::size_t writes() const;
   bool empty() const { return transaction_.apply.empty(); }
   wire::Transaction take() { return std::move(transaction_); }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -13,6 +13,8 @@
 using nlohmann::json;
 
 constexpr std::size_t kLargestValue = std::size_t{40} * 1024;
+constexpr double kLeastValueKb = 1;
+constexpr double kLeastTxnOps = 4;
 
 const json& need(const json& object, const char* name, json::value_t type, const char* what) {
   if (!object.is_object() || !object.contains(name))
@@ -44,6 +46,26 @@
 }
 const json& list(const json& o, const char* name) { return need(o, name, json::value_t::array, "a list"); }
 
+// The limit that is told now or, if it is lower, the one announced for later: values and transactions that
+// fit both are taken at any moment, and what was written before the change can be written anew after it.
+double lowerLimit(const json& state, const char* name, double low, double high) {
+  double now = number(state, name, low, high);
+  if (!state.contains("next")) return now;
+  const auto& next = object(state, "next");
+  if (!next.contains(name) || next.at(name).is_null()) return now;
+  return std::min(now, number(next, name, low, high));
+}
+
+void applyStateLimits(const json& state, Settings& settings) {
+  constexpr double most = 1e9;
+  settings.stateRps = lowerLimit(state, "rps", 1, most);
+  settings.stateWriteRps = lowerLimit(state, "write_rps", 1, most);
+  // A page and what goes with it must fit a transaction.
+  auto valueBytes = static_cast<std::size_t>(lowerLimit(state, "value_kb", kLeastValueKb, 1024) * 1024);
+  settings.valueBytes = std::min(valueBytes, kLargestValue);
+  settings.txnOps = static_cast<unsigned>(lowerLimit(state, "txn_ops", kLeastTxnOps, 10000));
+}
+
 }  // namespace
 
 Address parseAddress(const std::string& textual) {
@@ -172,11 +194,7 @@
   s.leaseS = number(w, "lease_s", 0.001, 86400);
   s.cancelS = number(w, "cancel_s", s.leaseS, 86400);
   const auto& st = object(d, "state");
-  s.stateRps = number(st, "rps", 1, big);
-  s.stateWriteRps = number(st, "write_rps", 1, big);
-  // A page and what goes with it must fit a transaction.
-  s.valueBytes = std::min(static_cast<std::size_t>(number(st, "value_kb", 1, 1024) * 1024), kLargestValue);
-  s.txnOps = static_cast<unsigned>(number(st, "txn_ops", 4, 10000));
+  applyStateLimits(st, s);
   const auto& c = object(d, "cloud");
   s.cloudRps = number(c, "rps", 0.01, big);
   s.listLagS = number(c, "list_lag_s", 0, 3600);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -62,6 +62,7 @@
   std::vector<TimeAim> finishAims, startAims;
   std::optional<double> guaranteeWithinS;  // "work within a guarantee should have started so soon"
   double reportS = 3, leaseS = 45, cancelS = 75;
+  // Of the state service: what holds now and what is announced for later, whichever is lower.
   double stateRps = 100, stateWriteRps = 50;
   std::size_t valueBytes = 4096;
   unsigned txnOps = 12;
--- a/src/wire/store.cpp
+++ b/src/wire/store.cpp
@@ -1,6 +1,7 @@
 #include "wire/store.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "wire/json.h"
 
@@ -174,6 +175,25 @@
   return dump(j);
 }
 
+std::string encodeWithin(JobRecord aborted, std::size_t valueBytes) {
+  auto value = encodeJobRecord(aborted);
+  if (value.size() <= valueBytes || !aborted.spec) return value;
+  // Nothing of it is placed any more: only what its tasks take is still asked for.
+  aborted.spec->jobClass.clear();
+  aborted.spec->image.value.clear();
+  aborted.spec->types.reset();
+  value = encodeJobRecord(aborted);
+  if (value.size() <= valueBytes) return value;
+  for (auto& delegation : aborted.delegations) {
+    auto& tasks = delegation.tasks;
+    if (tasks.empty()) continue;
+    auto first = tasks.front();
+    tasks.resize(tasks.back() - first + 1);
+    std::iota(tasks.begin(), tasks.end(), first);
+  }
+  return encodeJobRecord(aborted);
+}
+
 std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value) {
   auto doc = parse(value);
   if (!doc) return std::nullopt;
--- a/src/wire/store.h
+++ b/src/wire/store.h
@@ -59,6 +59,9 @@
   std::vector<std::uint32_t> doneElsewhere{};  // ascending
 };
 std::string encodeJobRecord(const JobRecord& r);
+// The record of an aborted job. If it would be larger than a value, it keeps of the description what the
+// job's last tasks take, and of each delegation the range of its tasks.
+std::string encodeWithin(JobRecord aborted, std::size_t valueBytes);
 std::optional<JobRecord> parseJobRecord(const JobId& id, const std::string& value);
 
 struct RunEntry {
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -159,6 +159,21 @@
   EXPECT_THROW(parseAddress("10.0.0.1:0"), SettingsError);
 }
 
+// What is written under the limits of now must be writable anew under those announced, and the other way.
+TEST(Settings, TheLowerOfTheLimitsOfNowAndLaterHolds) {
+  world::Deployment d;
+  d.valueKb = 16, d.txnOps = 8, d.writeRps = 80;
+  d.nextValueKb = 2, d.nextTxnOps = 24;
+  auto s = parseSettings(d.settingsOf(0), {});
+  EXPECT_EQ(s.valueBytes, 2048U);
+  EXPECT_EQ(s.txnOps, 8U);
+  EXPECT_EQ(s.stateWriteRps, 80);
+  EXPECT_EQ(s.stateRps, d.rps);
+  EXPECT_EQ(parseSettings(d.settingsOf(0, false), {}).valueBytes, std::size_t{16} * 1024);
+  d.nextTxnOps = 1;
+  EXPECT_THROW(parseSettings(d.settingsOf(0), {}), SettingsError);
+}
+
 // Invariants 6 and 16, over deployments of many shapes: whatever a controller that does not know of a
 // cancellation answers, and the lease after that by the fastest and slowest clocks, is over within cancel_s.
 TEST(Settings, ACancellationMeetsItsTimeWhateverIsAnsweredWithoutKnowingOfIt) {
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -118,6 +118,32 @@
   EXPECT_EQ(back->jobs.at(JobId{"wk-000413"}).done, std::vector<std::uint32_t>{7});
 }
 
+// A job accepted under a larger limit must be cancellable under a smaller one.
+TEST(Records, AbortedJobShrinksToAValueAndKeepsWhatItsTasksTake) {
+  JobSpec s;
+  s.id = JobId{"wk-000412"};
+  s.jobClass = std::string(3000, 'c');
+  s.team = TeamId{"vision"};
+  s.tasks = 4000;
+  s.each = {8, 1, 64};
+  s.oneZone = true;
+  wire::JobRecord aborted{JobStatus::Aborted, ShareNo{2}, s.tasks, WallTime{1700}, s, {}};
+  aborted.delegations.push_back({ShareNo{1}, std::nullopt, {}});
+  for (std::uint32_t i = 1; i < s.tasks; i += 2) aborted.delegations[0].tasks.push_back(i);
+  auto value = wire::encodeWithin(aborted, 2048);
+  EXPECT_LE(value.size(), 2048U);
+  auto back = wire::parseJobRecord(s.id, value);
+  ASSERT_TRUE(back && back->spec);
+  EXPECT_EQ(back->status, JobStatus::Aborted);
+  EXPECT_EQ(back->spec->team, s.team);
+  EXPECT_EQ(back->spec->each.cores, 8);
+  EXPECT_EQ(back->spec->each.ram, 64);
+  EXPECT_TRUE(back->spec->oneZone);
+  for (auto i : aborted.delegations[0].tasks) EXPECT_TRUE(back->delegations.at(0).covers(i));
+  // One that fits is kept as it is.
+  EXPECT_EQ(wire::encodeWithin(aborted, 1 << 20), wire::encodeJobRecord(aborted));
+}
+
 TEST(Records, AnotherLayoutIsToldAndNotGuessedAt) {
   EXPECT_FALSE(parsePage(R"({"d":[[0,3]],"p":[]})"));  // layout 1: a part of one job
   EXPECT_FALSE(parsePage(R"({"v":3,"j":{}})"));
--- a/tests/world/scenario_expectations.cpp
+++ b/tests/world/scenario_expectations.cpp
@@ -131,6 +131,7 @@
       {"reports-lost", [](const World& w) -> double { return w.checker.reportsLost(); }},
       {"slowest-cancel", [](const World& w) { return secondsOf(w.slowestCancel); }},
       {"store-refused", [](const World& w) { return static_cast<double>(w.store.overLimit()); }},
+      {"store-rejected", [](const World& w) { return static_cast<double>(w.store.rejected()); }},
       {"cloud-rate", [](const World& w) { return static_cast<double>(w.cloud.busiestSecond()); }},
       {"writes", [](const World& w) { return static_cast<double>(w.store.writes()); }},
       {"epochs", [](const World& w) { return static_cast<double>(w.store.epochs()); }},
--- a/tests/world/scenario_fault_actions.cpp
+++ b/tests/world/scenario_fault_actions.cpp
@@ -8,6 +8,7 @@
 using Context = const ActionContext&;
 
 constexpr Ms kLateWritesSettle = 12'000;
+constexpr double kBytesPerKb = 1024;
 const std::string kHold = "hold";      // what is sent meanwhile is held back and comes later, not lost
 const std::string kAnswer = "answer";  // it concerns answers, not requests
 
@@ -17,6 +18,21 @@
     controller->crash(context.line.duration(4));
 }
 
+// upgrade CONTROLLER FOR
+void upgrade(Context context) {
+  for (auto* controller : controllersNamed(context.world, context.line.word(3)))
+    controller->upgrade(context.line.duration(4));
+}
+
+// state-limits
+void changeStateLimits(Context context) {
+  const auto& deployment = context.world.deployment;
+  auto valueKb = deployment.nextValueKb.value_or(deployment.valueKb);
+  auto txnOps = deployment.nextTxnOps.value_or(deployment.txnOps);
+  context.world.store.limit(static_cast<unsigned>(txnOps), static_cast<std::size_t>(valueKb * kBytesPerKb),
+                            deployment.nextWriteRps.value_or(deployment.writeRps));
+}
+
 // freeze CONTROLLER FOR
 void freeze(Context context) {
   for (auto* controller : controllersNamed(context.world, context.line.word(3)))
@@ -101,6 +117,8 @@
 const ActionTable& faultActions() {
   static const ActionTable table{
       {"crash", {crash, 4}},
+      {"upgrade", {upgrade, 4}},
+      {"state-limits", {changeStateLimits}},
       {"freeze", {freeze, 4}},
       {"leader", {troubleLeader, 4}},
       {"cut", {cut, 5}},
--- a/tests/world/scenario_setup.cpp
+++ b/tests/world/scenario_setup.cpp
@@ -13,6 +13,10 @@
   value = options.number(name, value);
 }
 
+void setIfGiven(const Options& options, const char* name, std::optional<double>& value) {
+  if (options.has(name)) value = options.number(name, 0);
+}
+
 void applyTeams(const Line& line, ScenarioSetup& setup) {
   setup.deployment.teams = line.count(1);
   setup.deployment.guaranteed = line.number(2);
@@ -32,6 +36,9 @@
   setIfGiven(options, "writes", setup.deployment.writeRps);
   setIfGiven(options, "value_kb", setup.deployment.valueKb);
   setIfGiven(options, "txn", setup.deployment.txnOps);
+  setIfGiven(options, "next_value_kb", setup.deployment.nextValueKb);
+  setIfGiven(options, "next_txn", setup.deployment.nextTxnOps);
+  setIfGiven(options, "next_writes", setup.deployment.nextWriteRps);
 }
 
 void applyMachineType(const Line& line, ScenarioSetup& setup) {
@@ -63,6 +70,7 @@
        [](const Line& line, ScenarioSetup& setup) { setup.deployment.controllers = line.count(1); }},
       {"zones", [](const Line& line, ScenarioSetup& setup) { setup.deployment.zones = line.wordsFrom(1); }},
       {"teams", applyTeams},
+      {"former-version", [](const Line&, ScenarioSetup& setup) { setup.deployment.beginsFormer = true; }},
       {"guest", [](const Line&, ScenarioSetup& setup) { setup.deployment.guest = true; }},
       {"workers", applyWorkers},
       {"store", applyStore},
@@ -113,6 +121,8 @@
   spec.oneZone = options.has("one_zone");
   if (options.has("site")) spec.zone = cherryloft::Zone{options.text("site")};
   if (options.has("type")) spec.types = std::vector<std::string>{options.text("type")};
+  for (int n = 0; n < options.number("more_types", 0); ++n)
+    spec.types->push_back("a-type-that-does-not-exist-" + std::to_string(n));
   nature.run = static_cast<Ms>(runS * kMsPerSecond);
   nature.fails = options.has("fails");
   return nature;
--- a/tests/world/store.cpp
+++ b/tests/world/store.cpp
@@ -32,6 +32,12 @@
   return clock_.now() < outageUntil_ || (it != refused_.end() && clock_.now() < it->second);
 }
 
+void Store::limit(unsigned txnOps, std::size_t valueBytes, double writeRps) {
+  txnOps_ = txnOps;
+  valueBytes_ = valueBytes;
+  changes_ = Allowance(writeRps);
+}
+
 void Store::outage(Ms until) {
   outageUntil_ = until;
   clock_.at(until, [this] {
@@ -79,7 +85,7 @@
   auto apply = doc.value("apply", Json::array());
   if (apply.size() > txnOps_ || doc["when"].size() > std::size_t{4} * txnOps_ ||
       body.size() > std::size_t{64} * 1024)
-    return {400, R"({"error":"too large"})", false, 0};
+    return tooLarge();
   if (!changes_.take(clock_.now(), static_cast<double>(apply.size()))) return tooMany();
   return carryOut(doc);
 }
@@ -96,8 +102,7 @@
   for (const auto& a : apply) {
     if (a.contains("tenancy") && holds_.count(a["tenancy"].get<std::uint64_t>()) == 0)
       return {400, R"({"error":"no such lease"})", false, 0};
-    if (a.contains("write") && a["value"].dump().size() > valueBytes_)
-      return {400, R"({"error":"value"})", false, 0};
+    if (a.contains("write") && a["value"].dump().size() > valueBytes_) return tooLarge();
   }
   if (!failed.empty()) return {409, Json{{"failed", failed}, {"ledger_rev", rev_}}.dump(), false, 0};
   if (!apply.empty()) ++rev_;
@@ -116,6 +121,11 @@
   return {429, "{}", false, 0};
 }
 
+HttpResponse Store::tooLarge() {
+  ++rejected_;
+  return {400, R"({"error":"too large"})", false, 0};
+}
+
 HttpResponse Store::holds(const HttpRequest& r) {
   if (r.target == "/holds") {
     Ms ttl = Json::parse(r.body)["ttl_ms"].get<Ms>();
--- a/tests/world/store.h
+++ b/tests/world/store.h
@@ -12,6 +12,10 @@
  public:
   Store(Clock& clock, Net& net, unsigned txnOps, std::size_t valueBytes, double rps, double writeRps);
   void outage(Ms until);
+  // From now on these limits hold; what is stored stays readable.
+  void limit(unsigned txnOps, std::size_t valueBytes, double writeRps);
+  // How many transactions it answered 400, as they were too large.
+  std::size_t rejected() const { return rejected_; }
   void refuse(const std::string& who, Ms until) { refused_[who] = until; }
   // Until then that share of the transactions gets no answer and is carried out 2 to 12 s later.
   void lateWrites(double share, Ms until) { lateShare_ = share, lateUntil_ = until; }
@@ -59,6 +63,7 @@
   bool loseAnswer(const std::string& from, const HttpRequest& r);
   void carryOutLate(const nlohmann::json& doc);
   HttpResponse tooMany();
+  HttpResponse tooLarge();
   HttpResponse holds(const HttpRequest& r);
   HttpResponse list(const std::map<std::string, std::string>& q) const;
   void follow(const std::string& from, const std::map<std::string, std::string>& q, Reply reply);
@@ -77,7 +82,7 @@
   std::uint64_t rev_ = 0, holdCount_ = 0, writes_ = 0;
   std::size_t largestValue_ = 0;
   Allowance requests_, changes_;
-  std::size_t overLimit_ = 0;
+  std::size_t overLimit_ = 0, rejected_ = 0;
   Ms outageUntil_ = -1, lateUntil_ = -1, slowUntil_ = -1, slowest_ = 0;
   double lateShare_ = 0, lostShare_ = 0;
   Ms lostUntil_ = -1;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -29,7 +29,7 @@
 }
 }  // namespace
 
-std::string Deployment::settingsOf(unsigned node) const {
+std::string Deployment::settingsOf(unsigned node, bool announcesLimits) const {
   auto name = [](unsigned n) { return "loft-" + std::to_string(n); };
   auto address = [](unsigned n, int port) {
     return "10.0.0." + std::to_string(n + 1) + ":" + std::to_string(port);
@@ -47,23 +47,28 @@
                         {"gpus_max", 0}});
   if (guest)
     teamList.push_back({{"name", "team-guest"}, {"cpus", 0}, {"cpus_max", 0}, {"gpus", 0}, {"gpus_max", 0}});
-  return Json{
-      {"node", name(node)},
-      {"location", zones[node % zones.size()]},
-      {"front", address(node, 80)},
-      {"mesh_addr", address(node, 81)},
-      {"siblings", siblings},
-      {"endpoints", {{"cloud", "10.2.0.2:443"}, {"state", "10.2.0.1:2379"}}},
-      {"deployment",
-       {{"zones", zones},
-        {"objectives",
-         Json::array({{{"kind", "wait"}, {"class", "quick"}, {"within_s", 1.0}, {"share", 0.9}}})},
-        {"teams", teamList},
-        {"workers", {{"report_s", reportS}, {"lease_s", leaseS}, {"cancel_s", cancelS}}},
-        {"state", {{"rps", rps}, {"write_rps", writeRps}, {"value_kb", valueKb}, {"txn_ops", txnOps}}},
-        {"cloud", {{"rps", 5}, {"list_lag_s", 5}}},
-        {"machine_limits", {{"fd_limit", 3500}}},
-        {"clock_error_ms", 250}}}}
+  Json state{{"rps", rps}, {"write_rps", writeRps}, {"value_kb", valueKb}, {"txn_ops", txnOps}};
+  if (announcesLimits) {
+    if (nextValueKb) state["next"]["value_kb"] = *nextValueKb;
+    if (nextTxnOps) state["next"]["txn_ops"] = *nextTxnOps;
+    if (nextWriteRps) state["next"]["write_rps"] = *nextWriteRps;
+  }
+  return Json{{"node", name(node)},
+              {"location", zones[node % zones.size()]},
+              {"front", address(node, 80)},
+              {"mesh_addr", address(node, 81)},
+              {"siblings", siblings},
+              {"endpoints", {{"cloud", "10.2.0.2:443"}, {"state", "10.2.0.1:2379"}}},
+              {"deployment",
+               {{"zones", zones},
+                {"objectives",
+                 Json::array({{{"kind", "wait"}, {"class", "quick"}, {"within_s", 1.0}, {"share", 0.9}}})},
+                {"teams", teamList},
+                {"workers", {{"report_s", reportS}, {"lease_s", leaseS}, {"cancel_s", cancelS}}},
+                {"state", state},
+                {"cloud", {{"rps", 5}, {"list_lag_s", 5}}},
+                {"machine_limits", {{"fd_limit", 3500}}},
+                {"clock_error_ms", 250}}}}
       .dump();
 }
 
@@ -114,7 +119,8 @@
       number_(number),
       drift_(d.drift),
       mesh_(std::move(mesh)),
-      settings_(cherryloft::parseSettings(d.settingsOf(number), {})) {}
+      settings_(cherryloft::parseSettings(d.settingsOf(number, !d.beginsFormer), {})),
+      upgradedSettings_(cherryloft::parseSettings(d.settingsOf(number), {})) {}
 
 Controller::~Controller() = default;
 
@@ -146,6 +152,11 @@
   });
 }
 
+void Controller::upgrade(Ms backAfter) {
+  crash(backAfter);
+  settings_ = upgradedSettings_;
+}
+
 void Controller::freeze(Ms until) {
   frozenUntil_ = until;
   clock_.at(until, [this] { thaw(); });
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -19,9 +19,13 @@
   bool guest = false;  // a team "team-guest" without guarantee or limit
   double reportS = 3, leaseS = 36, cancelS = 61;
   double rps = 200, writeRps = 80, valueKb = 16, txnOps = 24;
+  // Limits of the state service that are announced, and hold from some moment on.
+  std::optional<double> nextValueKb, nextTxnOps, nextWriteRps;
+  // Controllers begin as a former version that reads no announced limits, until they are upgraded.
+  bool beginsFormer = false;
   double drift = 0.0005;
   std::vector<CloudType> types;
-  std::string settingsOf(unsigned node) const;
+  std::string settingsOf(unsigned node, bool announcesLimits = true) const;
 };
 
 // One controller process; crashes lose everything in it.
@@ -32,6 +36,8 @@
   ~Controller();
   void start();
   void crash(Ms backAfter);
+  // The same, and it comes back as the present version.
+  void upgrade(Ms backAfter);
   // The process stands still while clocks run on and its sockets fill; then sockets are read before timers
   // run, as the loop does it.
   void freeze(Ms until);
@@ -48,7 +54,7 @@
   unsigned number_;
   double drift_;
   std::function<void(std::uint32_t, const cherryloft::mesh::Frame&, unsigned)> mesh_;
-  cherryloft::Settings settings_;
+  cherryloft::Settings settings_, upgradedSettings_;
   std::unique_ptr<SimIo> io_;
   std::unique_ptr<cherryloft::Node> node_;
   std::uint64_t lives_ = 0;
