Gangs: whole in one zone, one decision stops all, done by one is done by all

Each zone that has room for all is tried, where the slowest fetch is shortest first; no member is commanded before the attempts of all are written; others are stopped for a gang only where that makes room for all of it, in one zone; an orderly stop tells all members at once; a lost member stops the rest without a save; what one has done all have done.

--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -1,6 +1,7 @@
 #include "actors/books.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cherryloft {
 
@@ -214,6 +215,7 @@
   auto zone = job.zones.find(host.zone());
   if (--zone->second == 0) job.zones.erase(zone);
   --job.placed;
+  if (it->second.committed) --job.committed;
   if (it->second.phase == wire::TaskPhase::Running && it->second.shown) --job.running;
   job.tasks[it->first.index].host = nullptr;
   host.placements.erase(it);
@@ -247,6 +249,19 @@
   ++job.done;
 }
 
+void Books::commit(Placement& p) {
+  if (std::exchange(p.committed, true)) return;
+  ++p.job->committed;
+}
+
+void Books::doneWaiting(Job& job, std::uint32_t index) {
+  auto& task = job.tasks[index];
+  if (task.state != TaskState::Waiting) return;
+  std::erase(job.waiting, index);
+  task.state = TaskState::Done;
+  ++job.done;
+}
+
 void Books::setPhase(Placement& p, wire::TaskPhase phase, Time now) {
   using wire::TaskPhase;
   bool ran = p.shown && p.phase == TaskPhase::Running, runs = phase == TaskPhase::Running;
@@ -323,8 +338,7 @@
     if (!j || j->tasks[id.index].flying) return false;
     const auto& t = j->tasks[id.index];
     // When the whole job is done, its own record says so.
-    if (t.state == TaskState::Done)
-      return j->status == JobStatus::Open && !t.doneCommitted && j->done < j->tasks.size();
+    if (t.state == TaskState::Done) return j->status == JobStatus::Open && !t.doneCommitted && !j->finished();
     return t.state == TaskState::Placed && !t.host->placements.at(id).committed;
   };
   while (!fresh.empty() && !needed(fresh.front())) fresh.pop_front();
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -47,11 +47,13 @@
   std::deque<std::uint32_t> waiting;
   std::map<Zone, unsigned> zones;  // its tasks by zone, as the placement rules count them
   std::uint32_t done = 0, placed = 0, running = 0;
-  Time since{};            // when this controller learnt of it
-  Time placedLast{};       // when a task of it was placed last
-  bool begun = false;      // a task of it was placed once
-  bool avoidSpot = false;  // in this turn
-  unsigned lost = 0;       // tasks that were to go on and are gone
+  std::uint32_t committed = 0;   // of those placed, whose attempt is written
+  Time since{};                  // when this controller learnt of it
+  Time placedLast{};             // when a task of it was placed last
+  bool begun = false;            // a task of it was placed once
+  bool avoidSpot = false;        // in this turn
+  std::optional<Zone> onlyZone;  // of a gang, in this turn: the zone that all its members are tried in
+  unsigned lost = 0;             // tasks that were to go on and are gone
   Time notBefore{};
   std::optional<std::uint32_t>
       atOnce;            // of a job of another share's team: its tasks that may be placed at a time
@@ -65,6 +67,12 @@
   bool recalling = false;              // of such a gang: it starts anew once all its tasks are back
 
   bool open() const { return status == JobStatus::Open && !abortAsked; }
+  bool isGang() const { return spec->shape == Shape::Gang; }
+  // Members of a gang complete together: one that is done proves it of all.
+  bool gangDone() const { return isGang() && done > 0; }
+  bool finished() const { return done == tasks.size() || (gangDone() && remote == 0); }
+  // Every task that this share is to place is placed, and its attempt written.
+  bool allCommitted() const { return waiting.empty() && committed == placed; }
   Resources unfinished() const { return spec->each * static_cast<double>(tasks.size() - done - remote); }
 };
 
@@ -217,6 +225,10 @@
   // there, until it is back.
   void makeRemote(Job& job, std::uint32_t index, const std::optional<Zone>& zone);
   void remoteBack(Job& job, std::uint32_t index, const std::optional<Zone>& zone, bool done);
+  // The placement's attempt is written.
+  static void commit(Placement& p);
+  // The task is done though no machine that is left can tell.
+  void doneWaiting(Job& job, std::uint32_t index);
   void setPhase(Placement& p, wire::TaskPhase phase, Time now);
   void cached(Host& host, const ImageId& image, double gb);
   // To be told after anything that Host::open() depends on has changed.
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -93,8 +93,9 @@
     job.waiting.clear();
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
       if (job.tasks[i].state == TaskState::Waiting) job.waiting.push_back(i);
-    if (job.done == job.tasks.size()) ending_.insert(id);
     if (job.status == JobStatus::Open) resumeDelegations(job);
+    if (job.status == JobStatus::Open) settleDoneGang(job);
+    if (job.finished()) ending_.insert(id);
   }
   std::vector<JobId> over;
   for (auto& [id, job] : books_.jobs())
@@ -150,7 +151,8 @@
   // A machine without a record was returned, and the cloud said so.
   if (!job || !h || job->tasks[task.index].state != TaskState::Waiting) return;
   auto& placement = books_.place(*job, task.index, *h, r.entry.attempt, io_.now());
-  placement.committed = placement.restored = true;
+  books_.commit(placement);
+  placement.restored = true;
   placement.wanted = job->open();
   books_.restored(task, r.page);
   books_.cached(*h, job->spec->image, job->spec->imageGb);
@@ -254,7 +256,7 @@
     return true;
   }
   j->cancelWaiters.push_back(std::move(done));
-  if (j->done < j->tasks.size()) j->abortAsked = true;
+  if (!j->finished()) j->abortAsked = true;
   ending_.insert(id);
   wake(false);
   return true;
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -12,6 +12,7 @@
 #include "actors/transaction_draft.h"
 #include "mesh/messages.h"
 #include "policy/coupling.h"
+#include "policy/gang.h"
 #include "policy/order.h"
 #include "policy/preempt.h"
 #include "wire/users.h"
@@ -115,6 +116,7 @@
   void absent(Host& h, const wire::Report& r, bool checkIn);
   std::vector<wire::Order> orders(Host& h, const wire::Report* checkIn);
   static void addOrders(std::vector<wire::Order>& list, std::vector<wire::Order> more);
+  Duration mostSaving(const Job& job) const;
   void strayOrders(Host& h, std::vector<wire::Order>& out);
   void direct(Host& h);
   // What a direct command went out with.
@@ -167,16 +169,14 @@
   std::vector<Ranked> candidates();
   unsigned placeSome(Job& job, unsigned most);
   void tryOne(Job& job);
-  bool placeGang(Job& job);
   bool keepEmptying();
   bool anyRoom(const Job& job) const;
   bool anyFree(const Job& job) const;
   bool fragile(const Job& job) const;
   bool tooSlow(const Job& job, const Host& h) const;
   bool holderCouldMakeRoom(const Job& job) const;
-  std::pair<std::vector<policy::Victim>, std::vector<TaskId>> victims(const Job& job, bool guaranteed,
-                                                                      const Host& h) const;
-  void gangBroken(Job& job);
+  std::pair<std::vector<policy::Victim>, std::vector<TaskId>> victims(
+      const Job& job, bool guaranteed, const Host& h, const std::set<TaskId>& taken = {}) const;
   bool allowed(const Job& job, const Host& h) const;
   bool allowedKind(const Job& job, const Host& h) const;
   bool allowedIn(const Job& job, const Pool& p) const;
@@ -193,6 +193,13 @@
   Host* holder(const Job& job, Turn& turn) const;
   std::vector<Host*> others(const Job& job, const Turn& turn);
   policy::Peek peek(const Job& job);
+  // Gangs (scheduler_gangs.cpp).
+  std::vector<policy::GangZone> gangZones(const Job& job) const;
+  bool placeGang(Job& job);
+  bool placeWhole(Job& job);
+  void gangBroken(Job& job);
+  void stopGang(Job& job, bool mayNotSave);
+  void settleDoneGang(Job& job);
   // Preemption.
   // What machines have free now or soon, less what is spoken for in this round.
   struct RoomToCome {
@@ -206,7 +213,15 @@
   };
   std::vector<Host*> peekForRoom(const Job& job);
   std::optional<PlannedEviction> cheapestEviction(const Job& job, bool guaranteed,
-                                                  const std::vector<Host*>& peeked, RoomToCome& room) const;
+                                                  const std::vector<Host*>& peeked, RoomToCome& room,
+                                                  const std::set<TaskId>& taken = {}) const;
+  std::optional<std::vector<PlannedEviction>> planRoomForGang(const Ranked& blocked,
+                                                              const std::vector<Host*>& peeked,
+                                                              const RoomToCome& room) const;
+  std::optional<std::vector<PlannedEviction>> planRoomOn(const Ranked& blocked,
+                                                         const std::vector<Host*>& hosts,
+                                                         RoomToCome room) const;
+  void makeRoomForGang(const Ranked& blocked, RoomToCome& room, std::set<HostId>& changed);
   bool leavesTimeToSave(const Ranked& claimant, const Host& h, const JobSpec& victim) const;
   void carryOut(const PlannedEviction& plan, const Ranked& claimant, RoomToCome& room);
   Duration patienceLeft(const Ranked& blocked) const;
--- a/src/actors/scheduler_commands.cpp
+++ b/src/actors/scheduler_commands.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kAfterRelayed{10'000};
 constexpr Duration kAfterRefused{1'000};
 constexpr Duration kStopAgain{1'500};
+constexpr double kSavingSlackS = 5;       // beyond twice the time that a save takes
 constexpr std::size_t kMostOrders = 300;  // keeps an answer's line under 64 KiB
 constexpr std::size_t kMostAsking = 64;   // questions without orders under way at a time
 }  // namespace
@@ -26,6 +27,11 @@
     if (named.count({o.task, o.attempt}) == 0) list.push_back(std::move(o));
 }
 
+// How long a task that was stopped may save. A member of a gang that has saved waits for the others.
+Duration Scheduler::mostSaving(const Job& job) const {
+  return seconds(2 * job.spec->snapshotS + kSavingSlackS + (job.isGang() ? settings_.gangPeerS : 0));
+}
+
 // What the worker should do; for a check-in also what is repeated until it shows.
 std::vector<Order> Scheduler::orders(Host& h, const wire::Report* checkIn) {
   auto now = io_.now();
@@ -36,6 +42,8 @@
     if (p.committed && p.wanted && !p.shown && !p.restored) {
       // Perhaps its end is committed, without an answer to us, and told by a sibling (invariant 8).
       if (!p.job->open()) continue;
+      // No member of a gang starts before the attempts of all are written.
+      if (p.job->isGang() && !p.job->allCommitted()) continue;
       if (checkIn ? h.directBusy : p.sent) continue;
       out.push_back({Order::Verb::Start, task, p.attempt, 0});
       p.sent = true;
@@ -46,7 +54,7 @@
       const auto& spec = *p.job->spec;
       // An aborted job's work is of no use to anyone, and nothing saves for ever.
       bool saves = spec.snapshotEveryS > 0 && p.job->open() && !p.mayNotSave &&
-                   (!sentBefore || now - p.stopSent < seconds(2 * spec.snapshotS + 5));
+                   (!sentBefore || now - p.stopSent < mostSaving(*p.job));
       out.push_back({Order::Verb::Stop, task, p.attempt, saves ? spec.snapshotS + 1 : 0});
       if (!sentBefore || !checkIn) p.stopSent = now;
     }
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -25,7 +25,7 @@
       it = ending_.erase(it);
       continue;
     }
-    bool done = job->done == job->tasks.size();
+    bool done = job->finished();
     auto value = done ? wire::encodeJobRecord(doneRecord(*job))
                       : wire::encodeWithin(abortedRecord(*job), settings_.valueBytes);
     if (!draft.add({keys::job(*it), std::move(value), {}}, job->version)) return;
@@ -160,7 +160,7 @@
     if (!h) continue;
     auto it = h->placements.find(task);
     if (it == h->placements.end() || it->second.attempt != attempt || it->second.committed) continue;
-    it->second.committed = true;
+    books_.commit(it->second);
     spans_.toCommitted.add(io_.now() - it->second.placedAt);
     if (!it->second.wanted || !h->open()) {
       // Never sent, so it is nowhere.
@@ -169,6 +169,9 @@
       continue;
     }
     hosts.insert(hostId);
+    if (const Job* job = books_.job(task.job); job && job->isGang() && job->allCommitted())
+      for (const auto& member : job->tasks)
+        if (member.host) hosts.insert(member.host->id);
   }
   for (const auto& [id, status] : f.ended) {
     Job* j = books_.job(id);
--- a/src/actors/scheduler_delegation.cpp
+++ b/src/actors/scheduler_delegation.cpp
@@ -243,8 +243,9 @@
     job.recalling = false;
     job.gangAttempt.reset();
   }
+  settleDoneGang(job);
   if (notDone) gangBroken(job);
-  if (job.done == job.tasks.size()) ending_.insert(job.id);
+  if (job.finished()) ending_.insert(job.id);
   if (any) wake(true);
 }
 
--- a/src/actors/scheduler_failures.cpp
+++ b/src/actors/scheduler_failures.cpp
@@ -22,7 +22,8 @@
     giveUpFaulty(job.id);
     if (job.status == JobStatus::Open) {
       fresh_.push_back(t.task);
-      if (job.done == job.tasks.size()) ending_.insert(job.id);
+      if (job.finished() && !job.delegation) ending_.insert(job.id);
+      settleDoneGang(job);
     }
     cleanUp(job);
     return;
@@ -48,6 +49,7 @@
     default:
       break;
   }
+  settleDoneGang(job);
   gangBroken(job);
   cleanUp(job);
 }
--- /dev/null
+++ b/src/actors/scheduler_gangs.cpp
@@ -0,0 +1,152 @@
+// Gangs: jobs whose tasks all run at the same time, or none of them does.
+//
+// The members of a gang share one attempt. They are placed in one pass, all or none, and none is commanded
+// before the attempt of every member is written. When one is lost the others are stopped, and the gang starts
+// anew once nothing of the old attempt is left anywhere. What is done is done by all.
+#include <algorithm>
+
+#include "actors/scheduler.h"
+#include "policy/gang.h"
+
+namespace cherryloft {
+
+// What each zone that the gang may be in has for it.
+std::vector<policy::GangZone> Scheduler::gangZones(const Job& job) const {
+  const auto& spec = *job.spec;
+  std::map<Zone, policy::GangZone> zones;
+  for (const auto& [zone, room] : roomByZone(job)) zones[zone] = {zone, room, 0, spec.imageGb};
+  for (const auto& pool : books_.pools()) {
+    auto zone = zones.find(pool.zone);
+    if (zone == zones.end() || !allowedIn(job, pool) || pool.fetchGbPerS <= 0) continue;
+    bool fits = pool.anyRoom(spec.each, settings_.tuning.sample, [](const Host&) { return true; });
+    if (fits) zone->second.fetchS = std::min(zone->second.fetchS, spec.imageGb / pool.fetchGbPerS);
+  }
+  for (const auto& [_, host] : *job.holders) {
+    auto zone = zones.find(host->zone());
+    if (zone == zones.end() || !allowed(job, *host)) continue;
+    auto& room = zone->second.roomOnHolders;
+    for (auto free = host->free(); spec.each.fitsIn(free) && room < spec.tasks; free -= spec.each) ++room;
+  }
+  std::vector<policy::GangZone> list;
+  for (auto& [_, zone] : zones) list.push_back(zone);
+  return list;
+}
+
+// Machines for all its members in one pass, or none of them. False: it is blocked.
+bool Scheduler::placeGang(Job& job) {
+  if (job.placed > 0 || job.recalling) return true;  // what is left of an earlier try must go first
+  if (job.delegation && job.begun) return true;      // its attempt was tried: it goes back to its owner
+  if (!job.spec->oneZone) return placeWhole(job);
+  for (const auto& zone : policy::zonesToTry(gangZones(job), job.waiting.size())) {
+    job.onlyZone = zone;
+    bool placed = placeWhole(job);
+    job.onlyZone.reset();
+    if (placed) return true;
+  }
+  return false;
+}
+
+bool Scheduler::placeWhole(Job& job) {
+  auto all = static_cast<unsigned>(job.waiting.size());
+  auto placedLast = job.placedLast;
+  bool begun = job.begun;
+  auto before = fresh_.size();
+  if (placeSome(job, all) == all) return true;
+  fresh_.resize(before);
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+    if (Host* h = job.tasks[i].host) books_.gone(*h, TaskId{job.id, i}, io_.now());
+  std::sort(job.waiting.begin(), job.waiting.end());
+  job.placedLast = placedLast;  // it waits on
+  job.begun = begun;
+  return false;
+}
+
+// A member is gone: the others can't go on without it and start anew with it. What they did since the last
+// checkpoint is lost with it, so that they need not try to save.
+void Scheduler::gangBroken(Job& job) {
+  if (!job.isGang() || job.status != JobStatus::Open || job.gangDone()) return;
+  if (job.remote > 0 && !job.delegation) planRecall(job);
+  stopGang(job, true);
+}
+
+// One decision stops all members: a save succeeds only if each is told soon after the first.
+void Scheduler::stopGang(Job& job, bool mayNotSave) {
+  std::vector<std::pair<HostId, TaskId>> members;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+    if (const Host* h = job.tasks[i].host) members.emplace_back(h->id, TaskId{job.id, i});
+  std::set<HostId> on;
+  for (const auto& [id, task] : members) {
+    Host* h = books_.host(id);
+    auto member = h->placements.find(task);
+    if (member == h->placements.end() || !member->second.wanted) continue;
+    member->second.mayNotSave |= mayNotSave;
+    stop(*h, task, member->second);
+    on.insert(id);
+  }
+  for (const auto& id : on)
+    if (Host* h = books_.host(id)) direct(*h);
+}
+
+// Members complete together: once one is known to be done, so is what is known gone of the others.
+void Scheduler::settleDoneGang(Job& job) {
+  if (!job.gangDone()) return;
+  for (auto index : std::deque(job.waiting)) books_.doneWaiting(job, index);
+  if (job.finished() && !job.delegation && job.status == JobStatus::Open) ending_.insert(job.id);
+}
+
+// The least costly way to make room for all members, in one zone if they must be in one; nothing if there is
+// none.
+std::optional<std::vector<Scheduler::PlannedEviction>> Scheduler::planRoomForGang(
+    const Ranked& blocked, const std::vector<Host*>& peeked, const RoomToCome& room) const {
+  const Job& job = *blocked.job;
+  std::set<Zone> zones;
+  for (const Host* h : peeked) zones.insert(h->zone());
+  std::optional<std::vector<PlannedEviction>> best;
+  double least = 0;
+  for (const auto& zone : zones) {
+    std::vector<Host*> there;
+    for (Host* h : peeked)
+      if (!job.spec->oneZone || h->zone() == zone) there.push_back(h);
+    auto plan = planRoomOn(blocked, there, room);
+    double lost = 0;
+    if (plan)
+      for (const auto& eviction : *plan) lost += eviction.lost;
+    if (plan && (!best || lost < least)) best = std::move(plan), least = lost;
+    if (!job.spec->oneZone) break;
+  }
+  return best;
+}
+
+// Room for all members on these machines.
+std::optional<std::vector<Scheduler::PlannedEviction>> Scheduler::planRoomOn(const Ranked& blocked,
+                                                                             const std::vector<Host*>& hosts,
+                                                                             RoomToCome room) const {
+  std::vector<PlannedEviction> plan;
+  std::set<TaskId> taken;
+  for (std::size_t n = 0; n < blocked.job->waiting.size(); ++n) {
+    auto eviction = cheapestEviction(*blocked.job, blocked.c.guaranteed, hosts, room, taken);
+    if (!eviction) return std::nullopt;
+    auto& left = room.of(*eviction->host);
+    for (const auto& task : eviction->victims) {
+      taken.insert(task);
+      left += eviction->host->placements.at(task).job->spec->each;
+    }
+    left -= blocked.job->spec->each;
+    plan.push_back(std::move(*eviction));
+  }
+  return plan;
+}
+
+// Stops others for a gang only if that makes room for all of it.
+void Scheduler::makeRoomForGang(const Ranked& blocked, RoomToCome& room, std::set<HostId>& changed) {
+  const Job& job = *blocked.job;
+  if (job.placed > 0 || tasksWithinLimit(job) < job.waiting.size()) return;
+  auto plan = planRoomForGang(blocked, peekForRoom(job), room);
+  if (!plan) return;
+  for (const auto& eviction : *plan) {
+    carryOut(eviction, blocked, room);
+    if (!eviction.victims.empty()) changed.insert(eviction.host->id);
+  }
+}
+
+}  // namespace cherryloft
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -168,6 +168,7 @@
   if (it == h.placements.end()) return;  // went together with another member of its gang
   Job& job = *it->second.job;
   books_.gone(h, task, io_.now());
+  settleDoneGang(job);
   gangBroken(job);
   cleanUp(job);
 }
@@ -220,11 +221,17 @@
   for (const auto& [task, p] : h.placements) {
     const auto& spec = *p.job->spec;
     double ran = p.shown && p.phase == TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
-    bool ends = spec.shape == Shape::Array && spec.expectS - ran < *r.reclaimInS;
+    bool ends = spec.shape != Shape::Service && spec.expectS - ran < *r.reclaimInS;
     if (p.wanted && !ends) move.push_back(task);
   }
-  for (const auto& task : move)  // a gang's others go with the first
-    if (auto it = h.placements.find(task); it != h.placements.end()) stop(h, task, it->second);
+  for (const auto& task : move) {
+    auto it = h.placements.find(task);
+    if (it == h.placements.end()) continue;  // it went with another member of its gang
+    if (it->second.job->isGang())
+      stopGang(*it->second.job, it->second.job->spec->snapshotS >= *r.reclaimInS);
+    else
+      stop(h, task, it->second);
+  }
   books_.reindex(h);
   direct(h);
 }
--- a/src/actors/scheduler_preemption.cpp
+++ b/src/actors/scheduler_preemption.cpp
@@ -17,9 +17,8 @@
 }  // namespace
 
 // Tasks that the job may stop on the machine, and what they are.
-std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(const Job& job,
-                                                                               bool guaranteed,
-                                                                               const Host& h) const {
+std::pair<std::vector<policy::Victim>, std::vector<TaskId>> Scheduler::victims(
+    const Job& job, bool guaranteed, const Host& h, const std::set<TaskId>& taken) const {
   auto now = io_.now();
   std::vector<policy::Victim> offered;
   std::vector<TaskId> tasks;
@@ -29,11 +28,14 @@
     bool above = t && books_.teamUse(other.team).cores - other.each.cores >= t->cores - kResourceSlack;
     bool sameTeam = other.team == job.spec->team;
     // What this very round placed is not stopped by it: the two would take turns for ever.
-    if (!p.committed || !p.wanted ||
+    if (!p.committed || !p.wanted || taken.count(task) > 0 ||
         !policy::mayStop(job.spec->rank, guaranteed, sameTeam, other.rank, above))
       continue;
     double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
-    if (other.snapshotEveryS > 0) ran = std::min(ran, other.snapshotEveryS);
+    if (p.job->isGang())
+      ran = policy::lostSinceCheckpoint(ran, other.snapshotEveryS) * p.job->placed;  // all stop with it
+    else if (other.snapshotEveryS > 0)
+      ran = std::min(ran, other.snapshotEveryS);
     if (other.shape == Shape::Service) ran += kServiceLoss;
     offered.push_back({other.each, ran});
     tasks.push_back(task);
@@ -74,10 +76,11 @@
 // Where a task of the job would cost others least.
 std::optional<Scheduler::PlannedEviction> Scheduler::cheapestEviction(const Job& job, bool guaranteed,
                                                                       const std::vector<Host*>& peeked,
-                                                                      RoomToCome& room) const {
+                                                                      RoomToCome& room,
+                                                                      const std::set<TaskId>& taken) const {
   std::optional<PlannedEviction> best;
   for (Host* h : peeked) {
-    auto [offered, tasks] = victims(job, guaranteed, *h);
+    auto [offered, tasks] = victims(job, guaranteed, *h, taken);
     auto eviction = policy::evict(room.of(*h), job.spec->each, offered);
     if (!eviction) continue;
     if (tooSlow(job, *h)) eviction->lost += kSlowStart;
@@ -110,9 +113,14 @@
     log_->debug("{} gives way on {} to {}", wire::encodeTask(task), h.id.value, job.id.value);
     const auto& spec = *victim->second.job->spec;
     room.of(h) += spec.each;
-    victim->second.mayNotSave = !leavesTimeToSave(claimant, h, spec);
-    stop(h, task, victim->second);
+    bool mayNotSave = !leavesTimeToSave(claimant, h, spec);
     ++spans_.evicted;
+    if (victim->second.job->isGang()) {
+      stopGang(*victim->second.job, mayNotSave);
+      continue;
+    }
+    victim->second.mayNotSave = mayNotSave;
+    stop(h, task, victim->second);
   }
   room.of(h) -= job.spec->each;
 }
@@ -153,6 +161,11 @@
       continue;
     }
     lastRoomMade_ = io_.now();
+    if (r.job->isGang()) {
+      ++asked;
+      makeRoomForGang(r, room, changed);
+      continue;
+    }
     makeRoomFor(r, room, asked, changed);
   }
   if (asked >= kMostEvictionsAsked) makeRoomIn(kBetweenEvictions);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -85,7 +85,7 @@
     for (auto& r : list) r.c.turns = turns[r.job->spec->team];
     auto best = std::min_element(list.begin(), list.end(),
                                  [](const Ranked& a, const Ranked& b) { return policy::before(a.c, b.c); });
-    if (best->job->spec->shape == Shape::Gang) {
+    if (best->job->isGang()) {
       if (!placeGang(*best->job)) blocked.push_back(*best);
       list.erase(best);
       continue;
@@ -123,7 +123,7 @@
   auto turn = look(job);
   unsigned got = 0;
   // The members of a gang find each other by their common attempt.
-  bool gang = job.spec->shape == Shape::Gang;
+  bool gang = job.isGang();
   auto common = job.delegation ? job.delegation->attempt : job.gangAttempt;
   if (gang && !common) common = attemptOf(takeover_.epoch, ++attempts_);
   while (got < most && !job.waiting.empty() && books_.withinLimit(job)) {
@@ -168,41 +168,10 @@
   return s.expectS > kLongRun * *within || (job.lost > 0 && ageS + s.expectS > kLostRun * *within);
 }
 
-// A gang is placed whole: machines for all its members in one pass, or none of them. False: it is blocked.
-bool Scheduler::placeGang(Job& job) {
-  if (job.placed > 0 || job.recalling) return true;  // what is left of an earlier try must go first
-  if (job.delegation && job.begun) return true;      // its attempt was tried: it goes back to its owner
-  if (!fresh_.empty() && fresh_.size() + job.tasks.size() > roundWidth())
-    return true;  // next round is its own
-  auto all = static_cast<unsigned>(job.waiting.size());
-  auto placedLast = job.placedLast;
-  if (placeSome(job, all) == all) return true;
-  for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
-    if (Host* h = job.tasks[i].host) books_.gone(*h, TaskId{job.id, i}, io_.now());
-  std::sort(job.waiting.begin(), job.waiting.end());
-  job.placedLast = placedLast;  // it waits on
-  return false;
-}
-
-// A member is gone: the others can't go on without it and start anew with it.
-void Scheduler::gangBroken(Job& job) {
-  if (job.spec->shape != Shape::Gang || job.status != JobStatus::Open) return;
-  if (job.remote > 0 && !job.delegation) planRecall(job);
-  std::set<HostId> on;
-  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
-    Host* h = job.tasks[i].host;
-    auto id = TaskId{job.id, i};
-    if (!h || !h->placements.at(id).wanted) continue;
-    stop(*h, id, h->placements.at(id));
-    on.insert(h->id);
-  }
-  for (const auto& id : on)
-    if (Host* h = books_.host(id)) direct(*h);
-}
-
 bool Scheduler::zoneAllows(const Job& job, const Zone& zone, unsigned come) const {
   const auto& s = *job.spec;
   if (s.zone && *s.zone != zone) return false;
+  if (job.onlyZone && *job.onlyZone != zone) return false;
   // The owner's share keeps to the rules about zones.
   if (job.delegation) return !job.delegation->zone || *job.delegation->zone == zone;
   if (s.oneZone && !job.zones.empty() && (job.zones.size() > 1 || job.zones.begin()->first != zone))
@@ -371,7 +340,8 @@
   auto list = others(job, turn);
   if (list.empty()) return nullptr;
   // If even the shortest fetch is too long, room is made on a machine that has the image.
-  bool waits = io_.now() >= job.anyStartUntil;
+  // A gang starts with its slowest member: it is placed whole on what there is.
+  bool waits = io_.now() >= job.anyStartUntil && !job.isGang();
   if (waits && tooSlow(job, *list.front()) && holderCouldMakeRoom(job)) return nullptr;
   if (!turn.peek) turn.peek = peek(job);
   if (!turn.holdingZones) {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -193,6 +193,8 @@
   s.reportS = number(w, "report_s", 0.001, 3600);
   s.leaseS = number(w, "lease_s", 0.001, 86400);
   s.cancelS = number(w, "cancel_s", s.leaseS, 86400);
+  if (w.contains("gang_wait_s")) s.gangWaitS = number(w, "gang_wait_s", 0, 86400);
+  if (w.contains("gang_peer_s")) s.gangPeerS = number(w, "gang_peer_s", 0, 86400);
   const auto& st = object(d, "state");
   applyStateLimits(st, s);
   const auto& c = object(d, "cloud");
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -62,6 +62,8 @@
   std::vector<TimeAim> finishAims, startAims;
   std::optional<double> guaranteeWithinS;  // "work within a guarantee should have started so soon"
   double reportS = 3, leaseS = 45, cancelS = 75;
+  // A gang that is not complete within the first gives up; its members notice a lost one within the second.
+  double gangWaitS = 45, gangPeerS = 4;
   // Of the state service: what holds now and what is announced for later, whichever is lower.
   double stateRps = 100, stateWriteRps = 50;
   std::size_t valueBytes = 4096;
--- a/tests/world/cloud.cpp
+++ b/tests/world/cloud.cpp
@@ -18,7 +18,8 @@
       natures_(natures),
       settings_(settings),
       types_(std::move(types)),
-      controllers_(controllers) {
+      controllers_(controllers),
+      gangs_(clock, static_cast<Ms>(settings.gangWaitS * 1000), static_cast<Ms>(settings.gangPeerS * 1000)) {
   net_.serve("cloud", [this](const std::string&, HttpRequest r, Reply reply) {
     clock_.after(100, [this, r = std::move(r), reply = std::move(reply)] { handle(r, reply); });
   });
@@ -44,8 +45,8 @@
   r.upAt = clock_.now();
   auto t =
       std::find_if(types_.begin(), types_.end(), [&](const auto& x) { return x.name == r.machine.type; });
-  r.worker = std::make_unique<Worker>(clock_, net_, checker_, natures_, settings_, r.machine, addressOf(id),
-                                      t->fetchGbPerS, t->size, controllers_);
+  r.worker = std::make_unique<Worker>(clock_, net_, checker_, gangs_, natures_, settings_, r.machine,
+                                      addressOf(id), t->fetchGbPerS, t->size, controllers_);
 }
 
 void Cloud::addRunning(const std::string& type, const std::string& zone) {
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "world/checker.h"
+#include "world/gang_board.h"
 #include "world/net.h"
 
 namespace world {
@@ -20,7 +21,7 @@
 
 class Worker {
  public:
-  Worker(Clock& clock, Net& net, Checker& checker, const Natures& natures,
+  Worker(Clock& clock, Net& net, Checker& checker, GangBoard& gangs, const Natures& natures,
          const cherryloft::Settings& settings, Machine machine, std::string address, double fetchGbPerS,
          cherryloft::Resources size, unsigned controllers);
   ~Worker() { die(); }
@@ -36,6 +37,11 @@
   void plantStubborn() { stubborn_ = true; }
   const Machine& machine() const { return machine_; }
   Room room() const;
+  bool hangs() const { return clock_.now() < hungUntil_; }
+  // Its member of a gang begins to run, or ends.
+  void memberRuns(const std::string& job, std::uint32_t index, std::uint64_t attempt);
+  void endMember(const std::string& job, std::uint32_t index, std::uint64_t attempt,
+                 const std::string& cause);
 
  private:
   using Json = nlohmann::json;
@@ -64,6 +70,8 @@
   void fetched(const Key& k, std::uint64_t run);
   void kill(const Key& k, double graceS);
   void end(const Key& k, const std::string& cause);
+  Held* member(const std::string& job, std::uint32_t index, std::uint64_t attempt);
+  void leaveGang(const Key& k, const Held& held);
   void checkLease();
   void changed();
   Json body();
@@ -71,6 +79,7 @@
   Clock& clock_;
   Net& net_;
   Checker& checker_;
+  GangBoard& gangs_;
   const Natures& natures_;
   const cherryloft::Settings& settings_;
   Machine machine_;
@@ -117,6 +126,7 @@
   Worker* worker(const std::string& host);
   // The n-th machine that is up, in order of names; null if there are fewer.
   Worker* nth(unsigned n);
+  const GangCounts& gangs() const { return gangs_.counts(); }
   std::size_t held() const;
   std::size_t rented() const { return rented_; }
   // The most requests within one second.
@@ -143,6 +153,7 @@
   const cherryloft::Settings& settings_;
   std::vector<CloudType> types_;
   unsigned controllers_;
+  GangBoard gangs_;
   std::map<std::string, Rented> hosts_;
   std::map<std::string, HttpResponse> claims_;
   unsigned count_ = 0;
--- a/tests/world/scenario_setup.cpp
+++ b/tests/world/scenario_setup.cpp
@@ -28,6 +28,8 @@
   setIfGiven(options, "report", setup.deployment.reportS);
   setIfGiven(options, "lease", setup.deployment.leaseS);
   setIfGiven(options, "cancel", setup.deployment.cancelS);
+  setIfGiven(options, "gang_wait", setup.deployment.gangWaitS);
+  setIfGiven(options, "gang_peer", setup.deployment.gangPeerS);
 }
 
 void applyStore(const Line& line, ScenarioSetup& setup) {
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -9,12 +9,13 @@
 }
 }  // namespace
 
-Worker::Worker(Clock& clock, Net& net, Checker& checker, const Natures& natures,
+Worker::Worker(Clock& clock, Net& net, Checker& checker, GangBoard& gangs, const Natures& natures,
                const cherryloft::Settings& settings, Machine machine, std::string address, double fetchGbPerS,
                cherryloft::Resources size, unsigned controllers)
     : clock_(clock),
       net_(net),
       checker_(checker),
+      gangs_(gangs),
       natures_(natures),
       settings_(settings),
       machine_(std::move(machine)),
@@ -35,8 +36,10 @@
   if (!alive_) return;
   alive_.reset();
   net_.unserve(machine_.id);
-  for (auto& [k, h] : tasks_)
+  for (auto& [k, h] : tasks_) {
     if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
+    leaveGang(k, h);
+  }
   tasks_.clear();
 }
 
@@ -180,17 +183,20 @@
   if (it == tasks_.end() || it->second.run != run || it->second.state != "fetching") return;
   const auto& nature = natures_.at(k.first);
   images_.insert(nature.spec.image.value);
-  it->second.state = "running";
+  bool gang = nature.spec.shape == cherryloft::Shape::Gang;
+  it->second.state = gang ? "gathering" : "running";
   it->second.onMachine = true;
   checker_.started(machine_, k.first, k.second, it->second.givenAt);
   changed();
+  if (gang && !nature.fails && !faulty_) return gangs_.gather(*this, nature, k.second, it->second.attempt);
   bool fails = nature.fails || faulty_;
   if (nature.spec.shape == cherryloft::Shape::Service && !fails) return;
   Ms lasts = fails ? kFailsAfter : nature.run;
   later(lasts, [this, k, run, fails] {
     awake([this, k, run, fails] {
       auto held = tasks_.find(k);
-      if (held != tasks_.end() && held->second.run == run && held->second.state == "running")
+      bool there = held != tasks_.end() && held->second.run == run;
+      if (there && (held->second.state == "running" || held->second.state == "gathering"))
         end(k, fails ? "error" : "done");
     });
   });
@@ -211,9 +217,13 @@
   const auto& spec = natures_.at(k.first).spec;
   bool maySave = spec.snapshotEveryS > 0 && graceS >= spec.snapshotS;
   if (held.state == "flushing" && graceS > 0) return;
-  if (held.state != "running" || !maySave) return end(k, "halted");
+  if (held.state != "running" || !maySave) {
+    leaveGang(k, held);
+    return end(k, "halted");
+  }
   held.state = "flushing";
   changed();
+  if (spec.shape == cherryloft::Shape::Gang) return gangs_.told(k.first, k.second, held.attempt);
   later(static_cast<Ms>(spec.snapshotS * 1000), [this, k, run = held.run] {
     awake([this, k, run] {
       auto it = tasks_.find(k);
@@ -222,6 +232,34 @@
   });
 }
 
+Worker::Held* Worker::member(const std::string& job, std::uint32_t index, std::uint64_t attempt) {
+  auto it = tasks_.find({job, index});
+  bool there = it != tasks_.end() && it->second.attempt == attempt && it->second.state != "ended";
+  return there ? &it->second : nullptr;
+}
+
+void Worker::memberRuns(const std::string& job, std::uint32_t index, std::uint64_t attempt) {
+  if (auto* held = member(job, index, attempt)) held->state = "running";
+  changed();
+}
+
+void Worker::endMember(const std::string& job, std::uint32_t index, std::uint64_t attempt,
+                       const std::string& cause) {
+  later(0, [this, job, index, attempt, cause] {
+    awake([this, job, index, attempt, cause] {
+      if (const auto* held = member(job, index, attempt)) {
+        leaveGang({job, index}, *held);
+        end({job, index}, cause);
+      }
+    });
+  });
+}
+
+// Of tasks that are no members of a gang the board knows nothing.
+void Worker::leaveGang(const Key& k, const Held& held) {
+  if (held.onMachine) gangs_.left(k.first, k.second, held.attempt, *this);
+}
+
 void Worker::plant(const std::string& job, std::uint32_t index) {
   checker_.started(machine_, job, index, clock_.now());
 }
@@ -241,8 +279,10 @@
   if (clock_.now() < hungUntil_ || stubborn_) return;
   if (clock_.now() - leaseFrom_ <= static_cast<Ms>(settings_.leaseS * 1000)) return;
   if (!tasks_.empty()) checker_.leaseEnded();
-  for (auto& [k, h] : tasks_)
+  for (auto& [k, h] : tasks_) {
     if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
+    leaveGang(k, h);
+  }
   tasks_.clear();
   ++session_;
   leaseFrom_ = clock_.now();
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -17,7 +17,7 @@
   unsigned teams = 3;
   double guaranteed = 24, limit = 88;
   bool guest = false;  // a team "team-guest" without guarantee or limit
-  double reportS = 3, leaseS = 36, cancelS = 61;
+  double reportS = 3, leaseS = 36, cancelS = 61, gangWaitS = 45, gangPeerS = 4;
   double rps = 200, writeRps = 80, valueKb = 16, txnOps = 24;
   // Limits of the state service that are announced, and hold from some moment on.
   std::optional<double> nextValueKb, nextTxnOps, nextWriteRps;
