--- a/src/actors/scheduler_preemption.cpp
+++ b/src/actors/scheduler_preemption.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned kMostEvictionsAsked = 16;  // tasks per round for which room is made
 constexpr double kPatience = 0.25;    // part of its aim for starts that a job waits before others give way
 constexpr double kServiceLoss = 600;  // seconds of work that moving a replica counts as
+constexpr double kGangLoss = 120;     // the same for stopping a gang, whose members all start anew
 constexpr double kSlowStart = 100;    // core seconds of work that a start in time for its aim is worth
 constexpr double kStartTakes = 0.5;   // seconds from what is stopped to what starts in its room
 constexpr Duration kAnyStart{3'000};  // for how long a job then takes machines without its image
@@ -33,7 +34,7 @@
       continue;
     double ran = p.shown && p.phase == wire::TaskPhase::Running ? inSeconds(now - p.runningSince) : 0;
     if (p.job->isGang())
-      ran = policy::lostSinceCheckpoint(ran, other.snapshotEveryS) * p.job->placed;  // all stop with it
+      ran = (policy::lostSinceCheckpoint(ran, other.snapshotEveryS) + kGangLoss) * p.job->placed;
     else if (other.snapshotEveryS > 0)
       ran = std::min(ran, other.snapshotEveryS);
     if (other.shape == Shape::Service) ran += kServiceLoss;
--- /dev/null
+++ b/tests/unit/books_test.cpp
@@ -0,0 +1,59 @@
+// What a share's pages say, as the limits of the state service become smaller.
+#include "actors/books.h"
+
+#include <gtest/gtest.h>
+
+#include "world/world.h"
+
+namespace cherryloft {
+namespace {
+
+constexpr std::uint32_t kTasks = 60;
+
+KnownJob knownJob(const std::string& id) {
+  auto spec = std::make_shared<JobSpec>();
+  spec->id = JobId{id};
+  spec->team = TeamId{"team-0"};
+  spec->tasks = kTasks;
+  spec->each = {0.1, 0, 0.1};
+  KnownJob known;
+  known.tasks = kTasks;
+  known.spec = std::move(spec);
+  return known;
+}
+
+// A page written under a larger limit still holds more than fits a value now. Were it written anew, the facts
+// that do not fit would be lost, and a new owner would start these tasks a second time.
+TEST(Books, APageWhoseFactsNoLongerFitStaysAsItIs) {
+  world::Deployment d;
+  d.valueKb = 1;
+  auto settings = parseSettings(d.settingsOf(0), {});
+  Books books(settings);
+  MachineType type{"m", {100, 0, 100}, 50, 1, 1, 0.4, 5, {Zone{"a"}}};
+  KnownHost record;
+  record.record.type = "m";
+  record.record.zone = Zone{"a"};
+  auto& host = books.addHost(HostId{"host-" + std::string(80, '1')}, record, &type, Time{});
+  auto& job = books.addJob(JobId{"wk-1"}, knownJob("wk-1"));
+  constexpr PageNo kLarge = 0;
+  // Few enough facts for the page to count as half empty, and each of them long.
+  std::deque<TaskId> standing;
+  for (std::uint32_t i = 0; i < 12; ++i) {
+    auto& placement = books.place(job, i, host, Attempt{UINT64_MAX}, Time{});
+    Books::commit(placement);
+    books.restored({job.id, i}, kLarge);
+    standing.push_back({job.id, i});
+  }
+  std::deque<TaskId> fresh{{job.id, 20}};
+  books.place(job, 20, host, Attempt{UINT64_MAX}, Time{});
+  std::set<PageNo> taken;
+  std::optional<PageDraft> draft;
+  while (!draft && !fresh.empty()) draft = books.draft(fresh, taken);
+  ASSERT_TRUE(draft);
+  EXPECT_NE(draft->number, kLarge);
+  EXPECT_EQ(draft->record.jobs.at(job.id).placed.size(), 1U);
+  for (const auto& task : standing) EXPECT_EQ(job.tasks[task.index].page, kLarge);
+}
+
+}  // namespace
+}  // namespace cherryloft
