Groups: machines get new groups before their large one shrinks (incident fresh-f375, ran_twice)

Cause: a group parted in one transaction shows its machines as gone for a moment, and a controller of the former version sees it so too.

--- a/src/actors/directory.cpp
+++ b/src/actors/directory.cpp
@@ -91,6 +91,14 @@
   return r;
 }
 
+Version Directory::groupVersion(const std::string& key) const {
+  auto members = groups.find(key);
+  if (members == groups.end()) return {};
+  for (const auto& id : members->second)
+    if (auto h = hosts.find(id); h != hosts.end() && h->second.group == key) return h->second.version;
+  return {};
+}
+
 std::vector<wire::Order> Directory::endsOfAborted(const wire::Report& r) const {
   std::vector<wire::Order> ends;
   for (const auto& t : r.tasks) {
--- a/src/actors/directory.h
+++ b/src/actors/directory.h
@@ -67,6 +67,8 @@
   void ended(const JobId& id, JobStatus status, Version version);
   // A machine group as it is known, to be written anew with a change.
   wire::GroupRecord group(const std::string& key) const;
+  // The version of its record; 0 if there is none.
+  Version groupVersion(const std::string& key) const;
 
  private:
   std::vector<HostId> applyGroup(const wire::KeyChange& c, const Log& log);
--- a/src/actors/group_rewrite.cpp
+++ b/src/actors/group_rewrite.cpp
@@ -37,18 +37,18 @@
   return parts;
 }
 
-std::vector<VersionedWrite> rewriteGroup(const std::string& key, Version version,
-                                         const wire::GroupRecord& group, std::size_t valueBytes,
-                                         const GroupExists& exists) {
-  std::vector<VersionedWrite> writes;
-  for (const auto& part : splitToFit(group, valueBytes)) {
-    if (writes.empty())
-      writes.push_back({{key, wire::encodeGroup(part), {}}, version});
-    else
-      writes.push_back(creation(part, exists));
-  }
-  if (writes.empty()) writes.push_back({{key, std::nullopt, {}}, version});
-  return writes;
+GroupRewrite rewriteGroup(const std::string& key, Version version, const wire::GroupRecord& group,
+                          std::size_t valueBytes, std::size_t mostWrites, const GroupExists& exists) {
+  GroupRewrite rewrite;
+  auto parts = splitToFit(group, valueBytes);
+  if (parts.empty()) rewrite.writes.push_back({{key, std::nullopt, {}}, version});
+  if (parts.size() == 1) rewrite.writes.push_back({{key, wire::encodeGroup(group), {}}, version});
+  rewrite.splits = parts.size() > 1;
+  if (!rewrite.splits) return rewrite;
+  parts.erase(parts.begin());
+  parts.resize(std::min(parts.size(), mostWrites));
+  for (const auto& part : parts) rewrite.writes.push_back(creation(part, exists));
+  return rewrite;
 }
 
 std::vector<VersionedWrite> createGroup(const wire::GroupRecord& group, std::size_t valueBytes,
--- a/src/actors/group_rewrite.h
+++ b/src/actors/group_rewrite.h
@@ -1,7 +1,9 @@
 // Writes a machine group's record anew within the limits of the state service.
 //
-// A record that was written under a larger limit may have outgrown a value: what does not fit goes to new
-// groups in the same transaction, which readers see as machines that moved from one group to another.
+// A record that was written under a larger limit may have outgrown a value. Its last members then go to new
+// groups first, in a transaction of their own that leaves the group as it is: readers take the newer of two
+// records of a machine, so that at no moment a machine is without one. From then on the group's own record
+// fits, and is written without them.
 #pragma once
 
 #include <functional>
@@ -13,21 +15,29 @@
 
 namespace cherryloft {
 
+// How long a group whose members went to new ones must not be written anew: whoever is reading all groups,
+// key after key, has seen the new ones by then.
+inline constexpr Duration kSplitSettles{5'000};
+
 // Whether a key of the machine groups exists, as far as is known.
 using GroupExists = std::function<bool(const std::string& key)>;
 
+struct GroupRewrite {
+  std::vector<VersionedWrite> writes;
+  bool splits = false;  // only new groups for some members: the group itself is to be written later
+};
+
 // The members in the order given, parted so that each part's record fits a value.
 std::vector<wire::GroupRecord> splitToFit(const wire::GroupRecord& group, std::size_t valueBytes);
 
-// The writes that put the group under its key, on condition of its version; without members the key is
-// dropped.
-std::vector<VersionedWrite> rewriteGroup(const std::string& key, Version version,
-                                         const wire::GroupRecord& group, std::size_t valueBytes,
-                                         const GroupExists& exists);
+// What puts the group under its key, on condition of its version; without members the key is dropped. If the
+// group has outgrown a value: what creates new groups for those of its members that do not fit, as many as
+// one transaction takes. The transaction must require the group's version then.
+GroupRewrite rewriteGroup(const std::string& key, Version version, const wire::GroupRecord& group,
+                          std::size_t valueBytes, std::size_t mostWrites, const GroupExists& exists);
 
-// The writes that create the group, under keys that are free. They must stand in a transaction with a
-// condition that fails once it was carried out, as the absence of a key does not tell that it was never
-// there.
+// What creates the group, under keys that are free. It must stand in a transaction with a condition that
+// fails once it was carried out, as the absence of a key does not tell that it was never there.
 std::vector<VersionedWrite> createGroup(const wire::GroupRecord& group, std::size_t valueBytes,
                                         const GroupExists& exists);
 
--- a/src/actors/machine_returns.cpp
+++ b/src/actors/machine_returns.cpp
@@ -89,11 +89,21 @@
   auto most = change == Change::Drop ? context_.settings.txnOps : context_.store.unhurried();
   for (const auto& [key, changed] : byGroup) {
     if (draft.writes() >= most) break;
+    if (auto split = splitAt_.find(key); split != splitAt_.end()) {
+      if (context_.io.now() - split->second < kSplitSettles) continue;
+      splitAt_.erase(split);
+    }
     auto group = directory.group(key);
     if (group.members.empty()) continue;
     auto version = directory.hosts.at(group.members.front().id).version;
     applyChange(group, changed, change);
-    if (!draft.addAll(rewriteGroup(key, version, group, context_.settings.valueBytes, exists))) break;
+    auto rewrite = rewriteGroup(key, version, group, context_.settings.valueBytes, most, exists);
+    if (draft.writes() + rewrite.writes.size() > most || !draft.addAll(rewrite.writes)) break;
+    if (rewrite.splits) {
+      draft.require(key, version);
+      splitAt_[key] = context_.io.now();
+      continue;
+    }
     written.insert(written.end(), changed.begin(), changed.end());
   }
   if (draft.empty()) return {};
--- a/src/actors/machine_returns.h
+++ b/src/actors/machine_returns.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
 #include <vector>
 
@@ -43,6 +44,7 @@
   bool marking_ = false;
   std::set<HostId> returned_;
   bool returning_ = false;
+  std::map<std::string, Time> splitAt_;  // groups whose last members were given groups of their own
 };
 
 }  // namespace cherryloft
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -6,6 +6,7 @@
 
 #include "actors/books.h"
 #include "actors/failures.h"
+#include "actors/group_rewrite.h"
 #include "actors/membership.h"
 #include "actors/spans.h"
 #include "actors/store.h"
@@ -145,10 +146,9 @@
   };
   std::map<std::string, GroupChange> groupChanges(Time now);
   void settleRecords(Time now);
-  bool addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change,
-                      Epoch token) const;
-  std::vector<VersionedWrite> groupWrites(const std::string& key, const GroupChange& change,
-                                          Epoch token) const;
+  bool addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change, Epoch token);
+  GroupRewrite groupWrites(const std::string& key, const GroupChange& change, Epoch token) const;
+  bool splitSettles(const std::string& key, Time now);
   void recordsWritten(const TxnResult& r);
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
@@ -350,9 +350,10 @@
   bool recordsBusy_ = false;   // a write of host/ keys is on its way
   bool recordsMoved_ = false;  // the last one was of moves
   Time recordsNotBefore_{};
-  Time addressSince_{};         // since when some address is not written
-  std::size_t asking_ = 0;      // questions to machines that carry no orders
-  std::size_t commanding_ = 0;  // direct commands under way, questions included
+  std::map<std::string, Time> groupSplitAt_;  // groups whose last members were given groups of their own
+  Time addressSince_{};                       // since when some address is not written
+  std::size_t asking_ = 0;                    // questions to machines that carry no orders
+  std::size_t commanding_ = 0;                // direct commands under way, questions included
   // When so much was last silent that the fault is likely not the machines'.
   std::optional<Time> manyInDoubt_;
   std::map<Zone, Time> zoneInDoubt_;
--- a/src/actors/scheduler_records.cpp
+++ b/src/actors/scheduler_records.cpp
@@ -50,7 +50,7 @@
   auto most = store_.unhurried();
   for (auto& [key, change] : changes) {
     if (draft.writes() > before && draft.writes() >= most) break;
-    if (change.moved.empty() == moves) continue;
+    if (change.moved.empty() == moves || splitSettles(key, now)) continue;
     if (!addGroupChange(draft, key, change, token)) break;
   }
   if (draft.writes() == before) return;
@@ -60,24 +60,38 @@
              guarded([this](TxnResult r) { recordsWritten(r); }));
 }
 
+// Some members were given groups of their own a moment ago: the group's own record stays as it is for a
+// while.
+bool Scheduler::splitSettles(const std::string& key, Time now) {
+  auto split = groupSplitAt_.find(key);
+  if (split == groupSplitAt_.end()) return false;
+  if (now - split->second < kSplitSettles) return true;
+  groupSplitAt_.erase(split);
+  return false;
+}
+
 // Of a group whose machines go to more shares than fit the transaction, those of the first go now.
 bool Scheduler::addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change,
-                               Epoch token) const {
-  if (draft.addAll(groupWrites(key, change, token))) return true;
-  while (change.moved.size() > 1) {
+                               Epoch token) {
+  auto add = [&] {
+    auto rewrite = groupWrites(key, change, token);
+    if (!draft.addAll(rewrite.writes)) return false;
+    if (rewrite.splits) draft.require(key, dir_.groupVersion(key));
+    if (rewrite.splits) groupSplitAt_[key] = io_.now();
+    return true;
+  };
+  while (!add()) {
+    if (change.moved.size() <= 1) return false;
     change.moved.erase(std::prev(change.moved.end()));
-    if (draft.addAll(groupWrites(key, change, token))) return true;
   }
-  return false;
+  return true;
 }
 
-std::vector<VersionedWrite> Scheduler::groupWrites(const std::string& key, const GroupChange& change,
-                                                   Epoch token) const {
+GroupRewrite Scheduler::groupWrites(const std::string& key, const GroupChange& change, Epoch token) const {
   auto group = dir_.group(key);
   if (group.members.empty()) return {};
-  auto version = dir_.hosts.at(group.members.front().id).version;
   auto exists = [&](const std::string& other) { return dir_.groups.count(other) > 0; };
-  std::vector<VersionedWrite> writes;
+  std::vector<VersionedWrite> created;
   std::set<HostId> gone;
   for (const auto& [to, hosts] : change.moved) {
     auto there = group;
@@ -88,8 +102,8 @@
       gone.insert(h->id);
       there.members.push_back({h->id, wire::HostPhase::InUse, h->address});
     }
-    auto created = createGroup(there, settings_.valueBytes, exists);
-    writes.insert(writes.end(), created.begin(), created.end());
+    auto parts = createGroup(there, settings_.valueBytes, exists);
+    created.insert(created.end(), parts.begin(), parts.end());
   }
   std::erase_if(group.members, [&](const auto& m) { return gone.count(m.id) > 0; });
   for (auto& m : group.members) {
@@ -97,9 +111,11 @@
     if (auto h = books_.hosts().find(m.id); h != books_.hosts().end() && !h->second.address.empty())
       m.address = h->second.address;
   }
-  auto rewritten = rewriteGroup(key, version, group, settings_.valueBytes, exists);
-  writes.insert(writes.end(), rewritten.begin(), rewritten.end());
-  return writes;
+  // One write of the transaction is the epoch that a move draws.
+  auto rewrite =
+      rewriteGroup(key, dir_.groupVersion(key), group, settings_.valueBytes, settings_.txnOps - 1, exists);
+  if (!rewrite.splits) rewrite.writes.insert(rewrite.writes.end(), created.begin(), created.end());
+  return rewrite;
 }
 
 void Scheduler::recordsWritten(const TxnResult& r) {
