--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -151,7 +151,7 @@
   // A machine without a record was returned, and the cloud said so.
   if (!job || !h || job->tasks[task.index].state != TaskState::Waiting) return;
   auto& placement = books_.place(*job, task.index, *h, r.entry.attempt, io_.now());
-  books_.commit(placement);
+  Books::commit(placement);
   placement.restored = true;
   placement.wanted = job->open();
   books_.restored(task, r.page);
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -160,7 +160,7 @@
     if (!h) continue;
     auto it = h->placements.find(task);
     if (it == h->placements.end() || it->second.attempt != attempt || it->second.committed) continue;
-    books_.commit(it->second);
+    Books::commit(it->second);
     spans_.toCommitted.add(io_.now() - it->second.placedAt);
     if (!it->second.wanted || !h->open()) {
       // Never sent, so it is nowhere.
--- a/src/actors/scheduler_gangs.cpp
+++ b/src/actors/scheduler_gangs.cpp
@@ -28,6 +28,7 @@
     for (auto free = host->free(); spec.each.fitsIn(free) && room < spec.tasks; free -= spec.each) ++room;
   }
   std::vector<policy::GangZone> list;
+  list.reserve(zones.size());
   for (auto& [_, zone] : zones) list.push_back(zone);
   return list;
 }
--- a/src/policy/gang.cpp
+++ b/src/policy/gang.cpp
@@ -13,6 +13,7 @@
     return std::tuple(slowest(a), b.room) < std::tuple(slowest(b), a.room);
   });
   std::vector<Zone> order;
+  order.reserve(zones.size());
   for (const auto& z : zones) order.push_back(z.zone);
   return order;
 }
--- a/tests/unit/gang_test.cpp
+++ b/tests/unit/gang_test.cpp
@@ -8,6 +8,7 @@
 
 std::vector<std::string> namesOf(const std::vector<Zone>& zones) {
   std::vector<std::string> names;
+  names.reserve(zones.size());
   for (const auto& z : zones) names.push_back(z.value);
   return names;
 }
