--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -94,7 +94,7 @@
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
       if (job.tasks[i].state == TaskState::Waiting) job.waiting.push_back(i);
     if (job.status == JobStatus::Open) resumeDelegations(job);
-    if (job.status == JobStatus::Open) settleDoneGang(job);
+    if (job.status == JobStatus::Open) restoreGang(job);
     if (job.finished()) ending_.insert(id);
   }
   std::vector<JobId> over;
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -200,6 +200,7 @@
   void gangBroken(Job& job);
   void stopGang(Job& job, bool mayNotSave);
   void settleDoneGang(Job& job);
+  void restoreGang(Job& job);
   // Preemption.
   // What machines have free now or soon, less what is spoken for in this round.
   struct RoomToCome {
--- a/src/actors/scheduler_gangs.cpp
+++ b/src/actors/scheduler_gangs.cpp
@@ -95,6 +95,12 @@
   if (job.finished() && !job.delegation && job.status == JobStatus::Open) ending_.insert(job.id);
 }
 
+// A former owner wrote some members only, or lost one: what there is ends, and the gang starts as a whole.
+void Scheduler::restoreGang(Job& job) {
+  settleDoneGang(job);
+  if (job.placed > 0 && !job.waiting.empty()) gangBroken(job);
+}
+
 // The least costly way to make room for all members, in one zone if they must be in one; nothing if there is
 // none.
 std::optional<std::vector<Scheduler::PlannedEviction>> Scheduler::planRoomForGang(
