--- a/src/actors/scheduler_gangs.cpp
+++ b/src/actors/scheduler_gangs.cpp
@@ -37,7 +37,7 @@
 bool Scheduler::placeGang(Job& job) {
   if (job.placed > 0 || job.recalling) return true;  // what is left of an earlier try must go first
   if (job.delegation && job.begun) return true;      // its attempt was tried: it goes back to its owner
-  if (!job.spec->oneZone) return roomFor(job) >= job.waiting.size() && placeWhole(job);
+  if (!job.spec->oneZone) return placeWhole(job);
   for (const auto& zone : policy::zonesToTry(gangZones(job), job.waiting.size())) {
     job.onlyZone = zone;
     bool placed = placeWhole(job);
--- a/src/actors/scheduler_rounds.cpp
+++ b/src/actors/scheduler_rounds.cpp
@@ -282,8 +282,7 @@
            allowed(job, h);
   };
   std::vector<Host*> out;
-  // A gang needs room on many machines at once, not on those that reported in this moment.
-  if (!drawEverywhere_ && !job.isGang()) {
+  if (!drawEverywhere_) {
     for (const auto& id : drawAt_)
       if (auto it = books_.hosts().find(id); it != books_.hosts().end() && takes(it->second))
         out.push_back(&it->second);
