--- a/src/actors/pages.h
+++ b/src/actors/pages.h
@@ -22,13 +22,13 @@
     std::vector<TaskId> members;  // whose state it held when last written
     std::size_t live = 0;         // of those, whose latest state it still is
   };
-  explicit Pages(std::size_t valueBytes) : enough_(valueBytes / 80) {}
+  explicit Pages(std::size_t valueBytes) : enough_(valueBytes / kBytesPerLiveFact) {}
 
   Page& at(PageNo n) {
     next_ = std::max(next_, n + 1);
     return pages_[n];
   }
-  // The emptiest page, or a new one while all are more than half full.
+  // The emptiest page, or a new one while all are more than a quarter full.
   PageNo next(const std::set<PageNo>& taken);
   // One that holds nothing any more, if so many are there that it is not worth keeping.
   std::optional<PageNo> spare(const std::set<PageNo>& taken) const;
@@ -36,7 +36,10 @@
   std::size_t count() const { return pages_.size(); }
 
  private:
-  std::size_t enough_;  // facts that make a page half full
+  // A new page is begun while all hold more than one true fact for so many bytes, about a quarter of what
+  // fits. The emptier the page that is written anew, the more new facts one change tells.
+  static constexpr std::size_t kBytesPerLiveFact = 160;
+  std::size_t enough_;
   std::map<PageNo, Page> pages_;
   PageNo next_ = 0;  // never one that was dropped: its first write may be carried out again, late
 };
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -36,8 +36,8 @@
 
 // How many placements and completions one transaction can tell.
 std::size_t Scheduler::roundWidth() const {
-  constexpr std::size_t fact = 64;  // bytes, about
-  auto pages = std::clamp<std::size_t>(kMostWeight / settings_.valueBytes, 1, settings_.txnOps - 2);
+  constexpr std::size_t fact = 40;  // bytes, about, with what still stands of the page
+  auto pages = std::clamp<std::size_t>(kMostWeight / settings_.valueBytes, 1, settings_.txnOps - 1);
   return pages * std::max<std::size_t>(settings_.valueBytes / fact, 1);
 }
 
