--- a/tests/unit/books_test.cpp
+++ b/tests/unit/books_test.cpp
@@ -44,8 +44,10 @@
     books.restored({job.id, i}, kLarge);
     standing.push_back({job.id, i});
   }
+  // The new fact is short: it would fit beside those that still do.
+  auto& other = books.addHost(HostId{"host-2"}, record, &type, Time{});
   std::deque<TaskId> fresh{{job.id, 20}};
-  books.place(job, 20, host, Attempt{UINT64_MAX}, Time{});
+  books.place(job, 20, other, Attempt{1}, Time{});
   std::set<PageNo> taken;
   std::optional<PageDraft> draft;
   while (!draft && !fresh.empty()) draft = books.draft(fresh, taken);
