Simplify: one record of settling splits, one way to end a job, to command many and to grow a draft

MachineReturns and Scheduler each kept when a group was split and what the transaction then requires: GroupSplits. The loop that commands a set of machines stood five times: directAll. Whether a job's end is to be written was decided in four places: endIfFinished, so that a restored delegate leaves it to the owner as a running one does already. Zones for a gang's room are parted once; TransactionDraft checks and appends in one place; the stand-in's worker drops tasks in one.

--- a/src/actors/books.cpp
+++ b/src/actors/books.cpp
@@ -254,12 +254,10 @@
   ++p.job->committed;
 }
 
-void Books::doneWaiting(Job& job, std::uint32_t index) {
-  auto& task = job.tasks[index];
-  if (task.state != TaskState::Waiting) return;
-  std::erase(job.waiting, index);
-  task.state = TaskState::Done;
-  ++job.done;
+void Books::doneWaiting(Job& job) {
+  for (auto index : job.waiting) job.tasks[index].state = TaskState::Done;
+  job.done += static_cast<std::uint32_t>(job.waiting.size());
+  job.waiting.clear();
 }
 
 void Books::setPhase(Placement& p, wire::TaskPhase phase, Time now) {
--- a/src/actors/books.h
+++ b/src/actors/books.h
@@ -227,8 +227,8 @@
   void remoteBack(Job& job, std::uint32_t index, const std::optional<Zone>& zone, bool done);
   // The placement's attempt is written.
   static void commit(Placement& p);
-  // The task is done though no machine that is left can tell.
-  void doneWaiting(Job& job, std::uint32_t index);
+  // All tasks that wait are done though no machine that is left can tell.
+  static void doneWaiting(Job& job);
   void setPhase(Placement& p, wire::TaskPhase phase, Time now);
   void cached(Host& host, const ImageId& image, double gb);
   // To be told after anything that Host::open() depends on has changed.
--- a/src/actors/group_rewrite.cpp
+++ b/src/actors/group_rewrite.cpp
@@ -58,4 +58,21 @@
   return writes;
 }
 
+bool GroupSplits::settling(const std::string& key, Time now) {
+  auto split = since_.find(key);
+  if (split == since_.end()) return false;
+  if (now - split->second < kSplitSettles) return true;
+  since_.erase(split);
+  return false;
+}
+
+bool GroupSplits::add(TransactionDraft& draft, const std::string& key, Version version,
+                      const GroupRewrite& rewrite, Time now) {
+  if (!draft.addAll(rewrite.writes)) return false;
+  if (!rewrite.splits) return true;
+  draft.require(key, version);
+  since_[key] = now;
+  return true;
+}
+
 }  // namespace cherryloft
--- a/src/actors/group_rewrite.h
+++ b/src/actors/group_rewrite.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -41,4 +42,17 @@
 std::vector<VersionedWrite> createGroup(const wire::GroupRecord& group, std::size_t valueBytes,
                                         const GroupExists& exists);
 
+// Groups whose last members were given groups of their own, and that stay as they are for a while.
+class GroupSplits {
+ public:
+  bool settling(const std::string& key, Time now);
+  // Adds the rewrite of the group with that version to the transaction. False, and nothing is added, if it
+  // does not fit.
+  bool add(TransactionDraft& draft, const std::string& key, Version version, const GroupRewrite& rewrite,
+           Time now);
+
+ private:
+  std::map<std::string, Time> since_;
+};
+
 }  // namespace cherryloft
--- a/src/actors/machine_returns.cpp
+++ b/src/actors/machine_returns.cpp
@@ -2,7 +2,6 @@
 
 #include <map>
 
-#include "actors/group_rewrite.h"
 #include "wire/cloud.h"
 
 namespace cherryloft {
@@ -89,21 +88,15 @@
   auto most = change == Change::Drop ? context_.settings.txnOps : context_.store.unhurried();
   for (const auto& [key, changed] : byGroup) {
     if (draft.writes() >= most) break;
-    if (auto split = splitAt_.find(key); split != splitAt_.end()) {
-      if (context_.io.now() - split->second < kSplitSettles) continue;
-      splitAt_.erase(split);
-    }
+    if (splits_.settling(key, context_.io.now())) continue;
     auto group = directory.group(key);
     if (group.members.empty()) continue;
-    auto version = directory.hosts.at(group.members.front().id).version;
+    auto version = directory.groupVersion(key);
     applyChange(group, changed, change);
     auto rewrite = rewriteGroup(key, version, group, context_.settings.valueBytes, most, exists);
-    if (draft.writes() + rewrite.writes.size() > most || !draft.addAll(rewrite.writes)) break;
-    if (rewrite.splits) {
-      draft.require(key, version);
-      splitAt_[key] = context_.io.now();
-      continue;
-    }
+    if (draft.writes() + rewrite.writes.size() > most) break;
+    if (!splits_.add(draft, key, version, rewrite, context_.io.now())) break;
+    if (rewrite.splits) continue;
     written.insert(written.end(), changed.begin(), changed.end());
   }
   if (draft.empty()) return {};
--- a/src/actors/machine_returns.h
+++ b/src/actors/machine_returns.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <set>
 #include <vector>
 
 #include "actors/fleet_context.h"
+#include "actors/group_rewrite.h"
 #include "policy/fleet.h"
 
 namespace cherryloft {
@@ -44,7 +44,7 @@
   bool marking_ = false;
   std::set<HostId> returned_;
   bool returning_ = false;
-  std::map<std::string, Time> splitAt_;  // groups whose last members were given groups of their own
+  GroupSplits splits_;
 };
 
 }  // namespace cherryloft
--- a/src/actors/scheduler.cpp
+++ b/src/actors/scheduler.cpp
@@ -95,7 +95,7 @@
       if (job.tasks[i].state == TaskState::Waiting) job.waiting.push_back(i);
     if (job.status == JobStatus::Open) resumeDelegations(job);
     if (job.status == JobStatus::Open) restoreGang(job);
-    if (job.finished()) ending_.insert(id);
+    endIfFinished(job);
   }
   std::vector<JobId> over;
   for (auto& [id, job] : books_.jobs())
--- a/src/actors/scheduler.h
+++ b/src/actors/scheduler.h
@@ -120,6 +120,7 @@
   Duration mostSaving(const Job& job) const;
   void strayOrders(Host& h, std::vector<wire::Order>& out);
   void direct(Host& h);
+  void directAll(const std::set<HostId>& hosts);
   // What a direct command went out with.
   struct Sent {
     Token token;
@@ -148,7 +149,6 @@
   void settleRecords(Time now);
   bool addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change, Epoch token);
   GroupRewrite groupWrites(const std::string& key, const GroupChange& change, Epoch token) const;
-  bool splitSettles(const std::string& key, Time now);
   void recordsWritten(const TxnResult& r);
   void stop(Host& h, const TaskId& id, Placement& p);
   void dropHost(const HostId& id);
@@ -281,6 +281,7 @@
   void committed(const TxnResult& r);
   wire::JobRecord doneRecord(const Job& job) const;
   wire::JobRecord abortedRecord(const Job& job) const;
+  void endIfFinished(const Job& job);
   void addTerminal(TransactionDraft& draft);
   void addPages(TransactionDraft& draft);
   void takeEffect(const TxnResult& r);
@@ -351,10 +352,10 @@
   bool recordsBusy_ = false;   // a write of host/ keys is on its way
   bool recordsMoved_ = false;  // the last one was of moves
   Time recordsNotBefore_{};
-  std::map<std::string, Time> groupSplitAt_;  // groups whose last members were given groups of their own
-  Time addressSince_{};                       // since when some address is not written
-  std::size_t asking_ = 0;                    // questions to machines that carry no orders
-  std::size_t commanding_ = 0;                // direct commands under way, questions included
+  GroupSplits groupSplits_;
+  Time addressSince_{};         // since when some address is not written
+  std::size_t asking_ = 0;      // questions to machines that carry no orders
+  std::size_t commanding_ = 0;  // direct commands under way, questions included
   // When so much was last silent that the fault is likely not the machines'.
   std::optional<Time> manyInDoubt_;
   std::map<Zone, Time> zoneInDoubt_;
--- a/src/actors/scheduler_commands.cpp
+++ b/src/actors/scheduler_commands.cpp
@@ -119,6 +119,12 @@
            kDirectDeadline, guarded([this, id = h.id, sent](HttpResult r) { directed(id, sent, r); }));
 }
 
+// Machines that are gone from the books by now are left out.
+void Scheduler::directAll(const std::set<HostId>& hosts) {
+  for (const auto& id : hosts)
+    if (Host* h = books_.host(id)) direct(*h);
+}
+
 void Scheduler::directed(const HostId& id, const Sent& sent, const HttpResult& r) {
   if (sent.ask) --asking_;
   --commanding_;
--- a/src/actors/scheduler_commits.cpp
+++ b/src/actors/scheduler_commits.cpp
@@ -18,6 +18,11 @@
   return {JobStatus::Aborted, takeover_.share, tasks, job.submitted, *job.spec, job.atOnce, job.delegations};
 }
 
+// The end of another share's job is for its owner to write.
+void Scheduler::endIfFinished(const Job& job) {
+  if (job.status == JobStatus::Open && !job.delegation && job.finished()) ending_.insert(job.id);
+}
+
 void Scheduler::addTerminal(TransactionDraft& draft) {
   for (auto it = ending_.begin(); it != ending_.end();) {
     Job* job = books_.job(*it);
@@ -188,8 +193,7 @@
     if (Job* left = books_.job(id)) cleanUp(*left);
   }
   // Only now: a start must not go out beside the end of its own job.
-  for (const auto& id : hosts)
-    if (Host* h = books_.host(id)) direct(*h);
+  directAll(hosts);
   wake(false);
 }
 
--- a/src/actors/scheduler_delegation.cpp
+++ b/src/actors/scheduler_delegation.cpp
@@ -245,7 +245,7 @@
   }
   settleDoneGang(job);
   if (notDone) gangBroken(job);
-  if (job.finished()) ending_.insert(job.id);
+  endIfFinished(job);
   if (any) wake(true);
 }
 
@@ -313,8 +313,7 @@
   job.notBefore = Time::max();
   std::set<HostId> hosts;
   stopTasks(job, hosts);
-  for (const auto& id : hosts)
-    if (Host* h = books_.host(id)) direct(*h);
+  directAll(hosts);
   wake(false);
 }
 
@@ -325,8 +324,7 @@
   std::set<HostId> hosts;
   stopTasks(job, hosts);
   if (Job* left = books_.job(id)) cleanUp(*left);
-  for (const auto& host : hosts)
-    if (Host* h = books_.host(host)) direct(*h);
+  directAll(hosts);
   wake(true);
 }
 
--- a/src/actors/scheduler_failures.cpp
+++ b/src/actors/scheduler_failures.cpp
@@ -22,8 +22,8 @@
     giveUpFaulty(job.id);
     if (job.status == JobStatus::Open) {
       fresh_.push_back(t.task);
-      if (job.finished() && !job.delegation) ending_.insert(job.id);
       settleDoneGang(job);
+      endIfFinished(job);
     }
     cleanUp(job);
     return;
@@ -50,6 +50,7 @@
       break;
   }
   settleDoneGang(job);
+  endIfFinished(job);
   gangBroken(job);
   cleanUp(job);
 }
--- a/src/actors/scheduler_gangs.cpp
+++ b/src/actors/scheduler_gangs.cpp
@@ -84,15 +84,12 @@
     stop(*h, task, member->second);
     on.insert(id);
   }
-  for (const auto& id : on)
-    if (Host* h = books_.host(id)) direct(*h);
+  directAll(on);
 }
 
 // Members complete together: once one is known to be done, so is what is known gone of the others.
 void Scheduler::settleDoneGang(Job& job) {
-  if (!job.gangDone()) return;
-  for (auto index : std::deque(job.waiting)) books_.doneWaiting(job, index);
-  if (job.finished() && !job.delegation && job.status == JobStatus::Open) ending_.insert(job.id);
+  if (job.gangDone()) Books::doneWaiting(job);
 }
 
 // A former owner wrote some members only, or lost one: what there is ends, and the gang starts as a whole.
@@ -106,20 +103,17 @@
 std::optional<std::vector<Scheduler::PlannedEviction>> Scheduler::planRoomForGang(
     const Ranked& blocked, const std::vector<Host*>& peeked, const RoomToCome& room) const {
   const Job& job = *blocked.job;
-  std::set<Zone> zones;
-  for (const Host* h : peeked) zones.insert(h->zone());
+  // By zone, or all together.
+  std::map<Zone, std::vector<Host*>> choices;
+  for (Host* h : peeked) choices[job.spec->oneZone ? h->zone() : Zone{}].push_back(h);
   std::optional<std::vector<PlannedEviction>> best;
   double least = 0;
-  for (const auto& zone : zones) {
-    std::vector<Host*> there;
-    for (Host* h : peeked)
-      if (!job.spec->oneZone || h->zone() == zone) there.push_back(h);
-    auto plan = planRoomOn(blocked, there, room);
+  for (const auto& [_, hosts] : choices) {
+    auto plan = planRoomOn(blocked, hosts, room);
     double lost = 0;
     if (plan)
       for (const auto& eviction : *plan) lost += eviction.lost;
     if (plan && (!best || lost < least)) best = std::move(plan), least = lost;
-    if (!job.spec->oneZone) break;
   }
   return best;
 }
--- a/src/actors/scheduler_hosts.cpp
+++ b/src/actors/scheduler_hosts.cpp
@@ -169,6 +169,7 @@
   Job& job = *it->second.job;
   books_.gone(h, task, io_.now());
   settleDoneGang(job);
+  endIfFinished(job);
   gangBroken(job);
   cleanUp(job);
 }
--- a/src/actors/scheduler_moves.cpp
+++ b/src/actors/scheduler_moves.cpp
@@ -4,6 +4,7 @@
 #include "actors/scheduler.h"
 
 namespace cherryloft {
+
 void Scheduler::wish(const mesh::HostWish& w) {
   Host* h = books_.host(HostId{w.host});
   if (!loaded_ || !owns() || !h || h->leaving) return;
--- a/src/actors/scheduler_preemption.cpp
+++ b/src/actors/scheduler_preemption.cpp
@@ -170,7 +170,7 @@
     makeRoomFor(r, room, asked, changed);
   }
   if (asked >= kMostEvictionsAsked) makeRoomIn(kBetweenEvictions);
-  for (const auto& id : changed) direct(*books_.host(id));
+  directAll(changed);
 }
 
 void Scheduler::makeRoomFor(const Ranked& blocked, RoomToCome& room, unsigned& asked,
--- a/src/actors/scheduler_records.cpp
+++ b/src/actors/scheduler_records.cpp
@@ -50,7 +50,7 @@
   auto most = store_.unhurried();
   for (auto& [key, change] : changes) {
     if (draft.writes() > before && draft.writes() >= most) break;
-    if (change.moved.empty() == moves || splitSettles(key, now)) continue;
+    if (change.moved.empty() == moves || groupSplits_.settling(key, now)) continue;
     if (!addGroupChange(draft, key, change, token)) break;
   }
   if (draft.writes() == before) return;
@@ -60,25 +60,12 @@
              guarded([this](TxnResult r) { recordsWritten(r); }));
 }
 
-// Some members were given groups of their own a moment ago: the group's own record stays as it is for a
-// while.
-bool Scheduler::splitSettles(const std::string& key, Time now) {
-  auto split = groupSplitAt_.find(key);
-  if (split == groupSplitAt_.end()) return false;
-  if (now - split->second < kSplitSettles) return true;
-  groupSplitAt_.erase(split);
-  return false;
-}
-
 // Of a group whose machines go to more shares than fit the transaction, those of the first go now.
 bool Scheduler::addGroupChange(TransactionDraft& draft, const std::string& key, GroupChange& change,
                                Epoch token) {
   auto add = [&] {
     auto rewrite = groupWrites(key, change, token);
-    if (!draft.addAll(rewrite.writes)) return false;
-    if (rewrite.splits) draft.require(key, dir_.groupVersion(key));
-    if (rewrite.splits) groupSplitAt_[key] = io_.now();
-    return true;
+    return groupSplits_.add(draft, key, dir_.groupVersion(key), rewrite, io_.now());
   };
   while (!add()) {
     if (change.moved.size() <= 1) return false;
--- a/src/actors/transaction_draft.cpp
+++ b/src/actors/transaction_draft.cpp
@@ -4,30 +4,31 @@
 
 std::size_t TransactionDraft::writes() const { return transaction_.apply.size(); }
 
-bool TransactionDraft::hasRoom(std::size_t bytes) const {
-  return transaction_.apply.size() < mostWrites_ && (empty() || bytes_ + bytes <= wire::kMostWeight);
+bool TransactionDraft::fits(std::size_t writes, std::size_t bytes) const {
+  return transaction_.apply.size() + writes <= mostWrites_ &&
+         (empty() || bytes_ + bytes <= wire::kMostWeight);
 }
 
+bool TransactionDraft::hasRoom(std::size_t bytes) const { return fits(1, bytes); }
+
 bool TransactionDraft::add(wire::Write write, Version version) {
-  auto bytes = wire::weightOf(write);
-  if (!hasRoom(bytes)) return false;
-  bytes_ += bytes;
-  transaction_.when[write.key] = version;
-  transaction_.apply.push_back(std::move(write));
+  if (!hasRoom(wire::weightOf(write))) return false;
+  append({std::move(write), version});
   return true;
 }
 
 bool TransactionDraft::addAll(const std::vector<VersionedWrite>& writes) {
   std::size_t bytes = 0;
   for (const auto& [write, _] : writes) bytes += wire::weightOf(write);
-  if (transaction_.apply.size() + writes.size() > mostWrites_) return false;
-  if (!empty() && bytes_ + bytes > wire::kMostWeight) return false;
-  bytes_ += bytes;
-  for (const auto& [write, version] : writes) {
-    transaction_.when[write.key] = version;
-    transaction_.apply.push_back(write);
-  }
+  if (!fits(writes.size(), bytes)) return false;
+  for (const auto& write : writes) append(write);
   return true;
 }
 
+void TransactionDraft::append(VersionedWrite versioned) {
+  bytes_ += wire::weightOf(versioned.write);
+  transaction_.when[versioned.write.key] = versioned.version;
+  transaction_.apply.push_back(std::move(versioned.write));
+}
+
 }  // namespace cherryloft
--- a/src/actors/transaction_draft.h
+++ b/src/actors/transaction_draft.h
@@ -32,6 +32,9 @@
   wire::Transaction take() { return std::move(transaction_); }
 
  private:
+  bool fits(std::size_t writes, std::size_t bytes) const;
+  void append(VersionedWrite versioned);
+
   std::size_t mostWrites_;
   std::size_t bytes_ = 0;
   wire::Transaction transaction_;
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -73,6 +73,7 @@
   Held* member(const std::string& job, std::uint32_t index, std::uint64_t attempt);
   void leaveGang(const Key& k, const Held& held);
   void checkLease();
+  void dropTasks();
   void changed();
   Json body();
 
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -36,6 +36,10 @@
   if (!alive_) return;
   alive_.reset();
   net_.unserve(machine_.id);
+  dropTasks();
+}
+
+void Worker::dropTasks() {
   for (auto& [k, h] : tasks_) {
     if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
     leaveGang(k, h);
@@ -279,11 +283,7 @@
   if (clock_.now() < hungUntil_ || stubborn_) return;
   if (clock_.now() - leaseFrom_ <= static_cast<Ms>(settings_.leaseS * 1000)) return;
   if (!tasks_.empty()) checker_.leaseEnded();
-  for (auto& [k, h] : tasks_) {
-    if (h.onMachine) checker_.left(machine_.id, k.first, k.second, false);
-    leaveGang(k, h);
-  }
-  tasks_.clear();
+  dropTasks();
   ++session_;
   leaseFrom_ = clock_.now();
 }
