--- a/review/lab/cloud.h
+++ b/review/lab/cloud.h
@@ -36,6 +36,7 @@
   std::vector<std::string> names;
   Ms troubleUntil = 0, emptyUntil = 0, bootsFailUntil = 0, lostAnswersUntil = 0;
   bool spotOffered = true;
+  unsigned rentedAtMost = 1000;  // machines rented in the whole run
 
   std::string create(const std::string& type, const std::string& zone, bool spot) {
     char id[32];
@@ -112,12 +113,14 @@
     auto have = std::count_if(hosts.begin(), hosts.end(), [&](const auto& h) {
       return h.second.goneAt < 0 && h.second.info.type == type && h.second.info.zone == zone && h.second.info.spot == spot;
     });
+    if (rentedInAll_ >= rentedAtMost) return reply(503, {{"error", "no capacity"}});
     long limit = env_.now() < emptyUntil || (spot && !spotOffered) ? 0 : static_cast<long>(typeOf(type).capacity);
     long grant = std::min<long>(doc["count"].get<long>(), limit - have);
     if (grant <= 0) return reply(503, {{"error", "no capacity"}});
     Json names = Json::array();
     for (long i = 0; i < grant; ++i) {
       auto id = create(type, zone, spot);
+      ++rentedInAll_;
       names.push_back(id);
       if (env_.now() < bootsFailUntil) continue;
       if (rented) {
@@ -158,7 +161,7 @@
   std::vector<std::string> zones_;
   std::vector<Type> types_;
   Ms lag_;
-  unsigned count_ = 0;
+  unsigned count_ = 0, rentedInAll_ = 0;
   std::map<std::string, HttpResponse> claims_;
 };
 
--- a/review/lab/lab.cc
+++ b/review/lab/lab.cc
@@ -156,6 +156,45 @@
   });
 }
 
+// A machine stops, and the cloud has none left. Eight of its jobs allow its type only; the ninth fits a machine of
+// another shard that has room.
+void queue(Run& run) {
+  auto& c = run.cluster;
+  auto& env = run.env;
+  const std::string other = "wk-000001", flexible = "wk-000020";
+  unsigned bound = 8;
+  if (auto* number = std::getenv("BOUND_JOBS")) bound = static_cast<unsigned>(std::atoi(number));
+  c.cloud.rentedAtMost = 2;
+  auto spec = service(other, 1, 1, 2, 3);
+  spec["flavours"] = {"galah"};
+  c.addJob(spec, 0);
+  c.addJob(service(flexible, 0, 1, 2, 3), 0);
+  for (unsigned i = 0; i < bound; ++i) {
+    auto id = "wk-00001" + std::to_string(i);
+    spec = service(id, 0, 1, 2, 3);
+    spec["flavours"] = {"karri"};
+    c.addJob(spec, 0);
+    env.after(4000 + 20 * i, [&c, id] { c.submit(id, -1, [&c, id] { c.poll(id, 5000); }); });
+  }
+  env.after(4500, [&c, other] { c.submit(other, -1, [&c, other] { c.poll(other, 5000); }); });
+  env.after(8500, [&c, flexible] { c.submit(flexible, -1, [&c, flexible] { c.poll(flexible, 5000); }); });
+  env.after(12000, [&run, &c, &env, other, flexible] {
+    auto* worker = holderOf(c, flexible);
+    if (!worker || !holderOf(c, other) || worker->machine().type != "karri")
+      return run.end(kCouldNotRun, "the jobs do not run as planned");
+    if (!run.trouble) return;
+    env.note("machine " + worker->machine().id + " stops with all that is on it");
+    c.cloud.kill(worker->machine().id);
+  });
+  env.after(117000, [&run, &c, other, flexible] {
+    auto* room = holderOf(c, other);
+    if (!room) return run.end(kCouldNotRun, "the other machine does not run its job");
+    if (auto* worker = holderOf(c, flexible)) return run.end(kHeld, flexible + " runs on " + worker->machine().id);
+    run.end(kBroken, flexible + " has waited for over 90 s, and " + room->machine().id + " has room for it, " +
+                         std::to_string(static_cast<int>(room->machine().cores) - 2) + " CPUs");
+  });
+}
+
 // Small tasks come several times as often, and one machine holds so many that its reports exceed 64 KiB.
 void swarm(Run& run) {
   auto& c = run.cluster;
@@ -222,6 +261,8 @@
     mixed(run);
   else if (name == "address")
     address(run);
+  else if (name == "queue")
+    queue(run);
   else if (name == "swarm")
     swarm(run);
   else
