--- a/review/lab/base.h
+++ b/review/lab/base.h
@@ -75,17 +75,31 @@
          std::to_string(1 + pid % 250);
 }
 
-inline int listenAnywhere() { return cherryloft::listenOn({ownLoopbackAddress(), 0}); }
+// Ports that are kept for controllers, which listen on them later.
+inline std::set<std::uint16_t>& keptPorts() {
+  static std::set<std::uint16_t> ports;
+  return ports;
+}
 
-// A port that is free now; a controller listens on it later.
-inline Address freeAddress() {
-  static std::set<std::uint16_t> given;
-  for (;;) {
-    int fd = listenAnywhere();
-    auto address = addressOf(fd);
-    ::close(fd);
-    if (given.insert(address.port).second) return address;
+// A listening socket on a port that is free and kept for nobody.
+inline int listenAnywhere() {
+  std::vector<int> passedOver;
+  int fd = cherryloft::listenOn({ownLoopbackAddress(), 0});
+  while (fd >= 0 && keptPorts().count(addressOf(fd).port) > 0) {
+    passedOver.push_back(fd);
+    fd = cherryloft::listenOn({ownLoopbackAddress(), 0});
   }
+  for (int other : passedOver) ::close(other);
+  return fd;
+}
+
+// Keeps a port that is free now for a controller.
+inline Address freeAddress() {
+  int fd = listenAnywhere();
+  auto address = addressOf(fd);
+  ::close(fd);
+  keptPorts().insert(address.port);
+  return address;
 }
 
 // An HTTP server on a free port.
