Log: why no machine is requested for work that waits

Change: the leader logs the task that it looks for (cores, memory, spot), and each machine type with the reason why it does not suit, every 30 s and shard while it lasts. Behaviour is as it was.

--- a/src/autoscaler/autoscaler.h
+++ b/src/autoscaler/autoscaler.h
@@ -51,6 +51,8 @@
   void plan();
   void planShard(ShardId shard, const policy::ShardFleet& fleet, const policy::CapacityTargets& target,
                  double spareSpotCores);
+  void logNothingToRequest(ShardId shard, const policy::ShardFleet& fleet,
+                           const policy::InstanceOfferings& unavailable);
   void logShardCapacity(ShardId shard, const policy::ShardFleet& fleet,
                         const policy::CapacityTargets& target) const;
   void moveToEmptyShards(const std::map<ShardId, policy::ShardFleet>& fleets);
@@ -72,7 +74,7 @@
                 MoveScope scope);
   void startScaleOut(ShardId shard, const policy::ScaleOutRequest& request);
   policy::ShardFleet fleetOf(ShardId shard) const;
-  std::set<policy::InstanceOffering> unavailableOfferings() const { return scaleOut_.unavailableOfferings(); }
+  policy::InstanceOfferings unavailableOfferings() const { return scaleOut_.unavailableOfferings(); }
   ShardDeficits shardDeficits() const;
 
   const Settings& settings_;
@@ -100,6 +102,16 @@
   };
   std::map<MachineId, PendingMove> pendingMoves_;
   std::map<ShardId, Time> lastMoveAfterDrainAt_;
+  // Limits how often a condition that lasts is logged.
+  class LogInterval {
+   public:
+    // Whether the condition should be logged now; true counts as logged.
+    bool due(Time now);
+
+   private:
+    std::optional<Time> loggedAt_;
+  };
+  std::map<ShardId, LogInterval> nothingToRequestLog_;
   std::map<MachineId, Time> lastDirectiveAt_;  // last directive to give the machine up
 };
 
--- a/src/autoscaler/planning.cpp
+++ b/src/autoscaler/planning.cpp
@@ -11,6 +11,7 @@
 constexpr Duration kDirectiveRetryInterval{5'000};
 constexpr Duration kMoveAfterDrainInterval{20'000};
 constexpr Duration kMoveTimeout{20'000};  // a move not recorded by then is assumed to have failed
+constexpr Duration kLogInterval{30'000};  // between two lines about the same lasting condition
 constexpr double kMinIdleS = 10;
 constexpr double kMinAgeS = 60;                   // minimum billing period of the cloud
 constexpr unsigned kMaxReleasedPerRun = 20;       // idle machines of a shard per planning run
@@ -91,7 +92,10 @@
       if (cloudCallBudget_ < 1 || (hasDrainingMachine && policy::isBelowTarget(fleet, targets.at(shard))))
         continue;
       auto request = policy::nextScaleOut(fleet, targets.at(shard), machineTypes_, unavailable);
-      if (!request) continue;
+      if (!request) {
+        if (policy::isBelowTarget(fleet, targets.at(shard))) logNothingToRequest(shard, fleet, unavailable);
+        continue;
+      }
       startScaleOut(shard, *request);
       policy::FleetMachine pending;
       pending.type = request->offering.type;
@@ -105,6 +109,31 @@
   }
 }
 
+bool Autoscaler::LogInterval::due(Time now) {
+  if (loggedAt_ && now - *loggedAt_ < kLogInterval) return false;
+  loggedAt_ = now;
+  return true;
+}
+
+// Tells why no machine is requested for work that waits, at most once per interval and shard.
+void Autoscaler::logNothingToRequest(ShardId shard, const policy::ShardFleet& fleet,
+                                     const policy::InstanceOfferings& unavailable) {
+  if (!nothingToRequestLog_[shard].due(runtime_.now())) return;
+  for (const auto* workload : {&fleet.onDemandOnly, &fleet.spotAllowed}) {
+    if (workload->waiting <= 0) continue;
+    policy::TaskRequirements task;
+    task.each = {workload->largestTask, 0, workload->largestTask * workload->ramPerCore};
+    task.types = workload->types;
+    task.zones = workload->zonesLackingCapacity;
+    task.spotAllowed = workload == &fleet.spotAllowed;
+    log_->info(
+        "no machine requested for waiting work: shard={} waiting_cores={} task_cores={} task_ram_gb={} "
+        "spot_allowed={} offerings=\"{}\"",
+        shard.value, workload->waiting, task.each.cores, task.each.ram, task.spotAllowed,
+        policy::explainOfferings(machineTypes_, task, unavailable));
+  }
+}
+
 std::vector<ShardId> Autoscaler::shardsByPressure(const std::map<ShardId, policy::ShardFleet>& fleets,
                                                   const std::map<ShardId, policy::CapacityTargets>& targets) {
   std::vector<ShardId> shards;
--- a/src/autoscaler/scale_out.cpp
+++ b/src/autoscaler/scale_out.cpp
@@ -47,8 +47,8 @@
   }
 }
 
-std::set<policy::InstanceOffering> ScaleOut::unavailableOfferings() const {
-  std::set<policy::InstanceOffering> offerings;
+policy::InstanceOfferings ScaleOut::unavailableOfferings() const {
+  policy::InstanceOfferings offerings;
   for (const auto& [offering, until] : unavailableUntil_)
     if (until > context_.runtime.now()) offerings.insert(offering);
   return offerings;
--- a/src/autoscaler/scale_out.h
+++ b/src/autoscaler/scale_out.h
@@ -26,7 +26,7 @@
   // Adds the machines of the shard's open requests to its fleet.
   void addPendingMachines(ShardId shard, policy::ShardFleet& fleet) const;
   // Offerings in backoff because the cloud recently had no capacity for them.
-  std::set<policy::InstanceOffering> unavailableOfferings() const;
+  policy::InstanceOfferings unavailableOfferings() const;
   // Ends the offering's backoff: a machine of it was returned.
   void markAvailable(const policy::InstanceOffering& offering) { unavailableUntil_.erase(offering); }
 
--- a/src/policy/autoscaling.cpp
+++ b/src/policy/autoscaling.cpp
@@ -59,7 +59,7 @@
 // fewest cores.
 std::optional<ScaleOutRequest> cheapestRequest(const ShardFleet& fleet, const Workload& workload,
                                                double missing, bool spot, const Catalog& catalog,
-                                               const std::set<InstanceOffering>& unavailable) {
+                                               const InstanceOfferings& unavailable) {
   std::map<Zone, double> zoneCores;  // on machines of the same kind, spot or on-demand
   for (const auto& machine : fleet.machines)
     if (machine.spot == spot) zoneCores[machine.zone] += machine.cores;
@@ -129,8 +129,7 @@
 }
 
 std::optional<ScaleOutRequest> nextScaleOut(const ShardFleet& fleet, const CapacityTargets& target,
-                                            const Catalog& catalog,
-                                            const std::set<InstanceOffering>& unavailable) {
+                                            const Catalog& catalog, const InstanceOfferings& unavailable) {
   auto have = capacityOf(fleet);
   for (const auto* workload : {&fleet.onDemandOnly, &fleet.spotAllowed}) {
     auto hasCapacityIn = [&](const Zone& zone) {
@@ -183,8 +182,7 @@
 
 std::optional<ScaleOutRequest> cheaperReplacement(const ShardFleet& fleet, const CapacityTargets& target,
                                                   const Catalog& catalog,
-                                                  const std::set<InstanceOffering>& unavailable,
-                                                  double minAgeS) {
+                                                  const InstanceOfferings& unavailable, double minAgeS) {
   constexpr double kMaxPriceFraction = 0.6;  // of the replaced machine's price
   constexpr unsigned kMaxReplacements = 4;   // machines that replace one
   auto have = capacityOf(fleet);
--- a/src/policy/autoscaling.h
+++ b/src/policy/autoscaling.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/job.h"
+#include "policy/offerings.h"
 
 namespace cherryloft::policy {
 
@@ -61,13 +62,6 @@
 CapacityTargets computeCapacityTargets(const ShardFleet& fleet, const Catalog& catalog, double spareFraction,
                                        double maxQueueWaitS);
 
-// A machine type in a zone, spot or on-demand, as offered by the cloud.
-struct InstanceOffering {
-  std::string type;
-  Zone zone;
-  bool spot = false;
-  friend auto operator<=>(const InstanceOffering&, const InstanceOffering&) = default;
-};
 // A request for a number of machines of one offering.
 struct ScaleOutRequest {
   InstanceOffering offering;
@@ -78,8 +72,7 @@
 bool isBelowTarget(const ShardFleet& fleet, const CapacityTargets& target);
 // The next scale-out request; nothing if the targets are met or no suitable offering is available.
 std::optional<ScaleOutRequest> nextScaleOut(const ShardFleet& fleet, const CapacityTargets& target,
-                                            const Catalog& catalog,
-                                            const std::set<InstanceOffering>& unavailable);
+                                            const Catalog& catalog, const InstanceOfferings& unavailable);
 
 // Index of the most expensive idle machine that can be released; nothing if all are needed. A spot machine is
 // released only if it has at most `releasableSpotCores`.
@@ -89,8 +82,7 @@
 // A request for smaller on-demand machines that can replace an oversized one at a much lower price.
 std::optional<ScaleOutRequest> cheaperReplacement(const ShardFleet& fleet, const CapacityTargets& target,
                                                   const Catalog& catalog,
-                                                  const std::set<InstanceOffering>& unavailable,
-                                                  double minAgeS);
+                                                  const InstanceOfferings& unavailable, double minAgeS);
 // The cores of all machines that count as capacity.
 double capacityCores(const ShardFleet& fleet);
 // Target over present capacity: 1 if they are equal, more if the shard lacks capacity.
