Scenarios: machine types and jobs with GPUs

Cause: a scenario could not say that a type has GPUs or that a task needs them. Change: `gpus=` in the lines `type` and `submit`.

--- a/tests/world/scenario_setup.cpp
+++ b/tests/world/scenario_setup.cpp
@@ -47,7 +47,7 @@
   auto options = line.optionsFrom(4);
   CloudType type;
   type.name = line.word(1);
-  type.size = {line.number(2), 0, line.number(3)};
+  type.size = {line.number(2), options.number("gpus", 0), line.number(3)};
   type.price = options.number("price", 1);
   type.spotPrice = options.number("spot", 0.45);
   type.boot = static_cast<Ms>(kMsPerSecond * options.number("boot", 5));
@@ -113,7 +113,7 @@
   spec.kind = parseKind(options.text("kind", "array"));
   spec.priority = parsePriority(options.text("priority", "normal"));
   spec.tasks = static_cast<std::uint32_t>(options.number("tasks", 1));
-  spec.each = {options.number("cores", 4), 0, options.number("ram", 4)};
+  spec.each = {options.number("cores", 4), options.number("gpus", 0), options.number("ram", 4)};
   spec.image = cherryloft::ImageId{options.text("image", "img-1")};
   spec.imageGb = options.number("gb", 0.5);
   spec.expectedRunSeconds = options.number("expect", runS);
