Autoscaling: machines are requested for the waiting tasks that exist

With no trouble at all: a service that allows one small type never starts beside a larger job, of two services bound to different types one never runs, a lone service of 0.2 cores gets no first machine. Cause: a shard reported one demand for all its jobs, with the most cores of any task, the most memory per core of any task, the types of the last job and one sum of cores. The leader took that for one task, which may fit no type, and compared sums of cores, which free cores that a task can't use cover. Change: the owner reports its waiting tasks in groups of equal needs (CapacityDemand): resources, the types of the catalog that suit them (with the image against the cache), zones, spot, and how many lack capacity after all have been assigned to the free capacity of the shard's machines, booting ones included. The leader (policy/waiting_tasks) subtracts the machines that the report can't know yet, and requests the cheapest available offering for the first group that lacks capacity; release, drain, replacement and moves spare the machines that such groups need. Groups are at most 64 a report and take turns beyond. Tasks over quota, in backoff or fitting no type are left out, also of the sums. The sums remain for the targets in cores, with types and memory that one of the tasks has.

--- a/src/autoscaler/autoscaler.h
+++ b/src/autoscaler/autoscaler.h
@@ -11,6 +11,7 @@
 #include "autoscaler/scale_out.h"
 #include "mesh/messages.h"
 #include "policy/autoscaling.h"
+#include "policy/waiting_tasks.h"
 #include "wire/workers.h"
 
 namespace cherryloft {
@@ -45,13 +46,18 @@
   enum class MoveScope : std::uint8_t { OnePerShard, AllSpare };
   struct MoveDestination {
     ShardId shard;
+    const policy::ShardFleet& fleet;
     bool acceptsSpot = false;  // it has waiting work that may run on spot machines
   };
 
   void plan();
   void planShard(ShardId shard, const policy::ShardFleet& fleet, const policy::CapacityTargets& target,
                  double spareSpotCores);
+  std::optional<policy::ScaleOutRequest> nextRequest(ShardId shard, const policy::ShardFleet& fleet,
+                                                     const policy::CapacityTargets& target,
+                                                     const policy::InstanceOfferings& unavailable);
   void logNothingToRequest(ShardId shard, const policy::ShardFleet& fleet,
+                           const std::vector<policy::TaskShortage>& shortages,
                            const policy::InstanceOfferings& unavailable);
   void logShardCapacity(ShardId shard, const policy::ShardFleet& fleet,
                         const policy::CapacityTargets& target) const;
@@ -64,14 +70,16 @@
   bool shouldSendDirective(const MachineId& machine);
   void returnDrainedMachines(ShardId shard);
   void cancelOneDrain(ShardId shard);
+  void cancelDrain(ShardId shard, const MachineId& machine);
   void releaseIdleMachines(ShardId shard, const policy::ShardFleet& fleet,
                            const policy::CapacityTargets& target, double spareSpotCores);
   void drainMachines(ShardId shard, const policy::ShardFleet& fleet, const policy::CapacityTargets& target);
   double coresMovingTo(ShardId to);
   void moveIdleMachines(const std::map<ShardId, policy::ShardFleet>& fleets,
                         const std::map<ShardId, policy::CapacityTargets>& targets, MoveScope scope);
-  void moveFrom(ShardId from, const MoveDestination& destination, double spareCores, double& missingCores,
-                MoveScope scope);
+  void addMachinesOnTheMove(std::map<ShardId, policy::ShardFleet>& fleets) const;
+  void moveFrom(ShardId from, const MoveDestination& destination, const policy::ShardFleet& fleet,
+                double spareCores, double& missingCores, MoveScope scope);
   void startScaleOut(ShardId shard, const policy::ScaleOutRequest& request);
   policy::ShardFleet fleetOf(ShardId shard) const;
   policy::InstanceOfferings unavailableOfferings() const { return scaleOut_.unavailableOfferings(); }
--- a/src/autoscaler/planning.cpp
+++ b/src/autoscaler/planning.cpp
@@ -17,6 +17,13 @@
 constexpr unsigned kMaxReleasedPerRun = 20;       // idle machines of a shard per planning run
 constexpr std::size_t kMaxDrainedPerRun = 8;      // busy machines of a shard per planning run
 constexpr std::size_t kMinMachinesToGiveOne = 2;  // of a shard that gives one to a shard without machines
+constexpr std::size_t kMaxShortagesLogged = 4;    // of a shard at a time
+
+std::string joinedNames(const std::vector<Zone>& zones) {
+  std::string names;
+  for (const auto& zone : zones) names += (names.empty() ? "" : ",") + zone.value;
+  return names;
+}
 
 }  // namespace
 
@@ -35,6 +42,7 @@
   bool rebalancingDue = now - lastRebalance_ >= settings_.tuning.idleMachineMoveInterval;
   if (rebalancingDue) lastRebalance_ = now;
   moveIdleMachines(fleets, targets, rebalancingDue ? MoveScope::AllSpare : MoveScope::OnePerShard);
+  addMachinesOnTheMove(fleets);
   // Spare capacity is pooled over all shards, as idle machines are moved on demand.
   double spareCores = 0;
   double largestArrival = 0;
@@ -65,6 +73,8 @@
     if (largest->second.machines.size() < kMinMachinesToGiveOne) continue;
     for (const auto& machine : loads_[largest->first].load.machines) {
       if (!machine.usable || (machine.spot && recipient.spotAllowed.waiting <= 0)) continue;
+      policy::InstanceOffering offering{machine.type, Zone{machine.zone}, machine.spot};
+      if (!policy::suitsWaitingTasks(recipient, machineTypes_, offering)) continue;
       lastMoveAfterDrainAt_[recipientShard] = now;
       log_->info("machine moves once drained: machine={} from_shard={} to_shard={}", machine.machine,
                  largest->first.value, recipientShard.value);
@@ -86,16 +96,9 @@
     requested = false;
     for (auto shard : shardsByPressure(planned, targets)) {
       auto& fleet = planned[shard];
-      bool hasDrainingMachine = std::any_of(fleet.machines.begin(), fleet.machines.end(),
-                                            [](const auto& machine) { return machine.draining; });
-      // planShard first cancels the drain of a machine.
-      if (cloudCallBudget_ < 1 || (hasDrainingMachine && policy::isBelowTarget(fleet, targets.at(shard))))
-        continue;
-      auto request = policy::nextScaleOut(fleet, targets.at(shard), machineTypes_, unavailable);
-      if (!request) {
-        if (policy::isBelowTarget(fleet, targets.at(shard))) logNothingToRequest(shard, fleet, unavailable);
-        continue;
-      }
+      if (cloudCallBudget_ < 1) break;
+      auto request = nextRequest(shard, fleet, targets.at(shard), unavailable);
+      if (!request) continue;
       startScaleOut(shard, *request);
       policy::FleetMachine pending;
       pending.type = request->offering.type;
@@ -103,12 +106,34 @@
       pending.spot = request->offering.spot;
       pending.cores = request->cores;
       pending.countsAsCapacity = true;
+      pending.inReport = false;
+      pending.count = request->count;
       fleet.machines.push_back(pending);
       requested = true;
     }
   }
 }
 
+// Tasks that no machine has capacity for come first, as the targets in cores do not tell what a machine's
+// free capacity is good for.
+std::optional<policy::ScaleOutRequest> Autoscaler::nextRequest(ShardId shard, const policy::ShardFleet& fleet,
+                                                               const policy::CapacityTargets& target,
+                                                               const policy::InstanceOfferings& unavailable) {
+  bool hasDrainingMachine = std::any_of(fleet.machines.begin(), fleet.machines.end(),
+                                        [](const auto& machine) { return machine.draining; });
+  auto shortages = policy::shortagesOf(fleet, machineTypes_);
+  // planShard first cancels the drain of a machine.
+  if (policy::drainToCancel(shortages, fleet, machineTypes_)) return std::nullopt;
+  if (auto request = policy::requestForShortages(shortages, fleet, machineTypes_, unavailable))
+    return request;
+  bool belowTarget = policy::isBelowTarget(fleet, target);
+  if (hasDrainingMachine && belowTarget) return std::nullopt;
+  auto request = policy::nextScaleOut(fleet, target, machineTypes_, unavailable);
+  if (!request && (belowTarget || !shortages.empty()))
+    logNothingToRequest(shard, fleet, shortages, unavailable);
+  return request;
+}
+
 bool Autoscaler::LogInterval::due(Time now) {
   if (loggedAt_ && now - *loggedAt_ < kLogInterval) return false;
   loggedAt_ = now;
@@ -117,14 +142,23 @@
 
 // Tells why no machine is requested for work that waits, at most once per interval and shard.
 void Autoscaler::logNothingToRequest(ShardId shard, const policy::ShardFleet& fleet,
+                                     const std::vector<policy::TaskShortage>& shortages,
                                      const policy::InstanceOfferings& unavailable) {
   if (!nothingToRequestLog_[shard].due(runtime_.now())) return;
+  for (std::size_t i = 0; i < std::min(shortages.size(), kMaxShortagesLogged); ++i) {
+    const auto& needs = shortages[i].group->needs;
+    log_->info(
+        "no machine requested for waiting tasks: shard={} tasks={} cores={} gpus={} ram_gb={} "
+        "spot_allowed={} "
+        "zones={} offerings=\"{}\"",
+        shard.value, shortages[i].tasks, needs.each.cores, needs.each.gpus, needs.each.ram, needs.spotAllowed,
+        joinedNames(needs.zones), policy::explainOfferings(machineTypes_, needs, unavailable));
+  }
   for (const auto* workload : {&fleet.onDemandOnly, &fleet.spotAllowed}) {
     if (workload->waiting <= 0) continue;
     policy::TaskRequirements task;
     task.each = {workload->largestTask, 0, workload->largestTask * workload->ramPerCore};
     task.types = workload->types;
-    task.zones = workload->zonesLackingCapacity;
     task.spotAllowed = workload == &fleet.spotAllowed;
     log_->info(
         "no machine requested for waiting work: shard={} waiting_cores={} task_cores={} task_ram_gb={} "
@@ -150,6 +184,9 @@
                            const policy::CapacityTargets& target, double spareSpotCores) {
   logShardCapacity(shard, fleet, target);
   returnDrainedMachines(shard);
+  auto shortages = policy::shortagesOf(fleet, machineTypes_);
+  if (auto index = policy::drainToCancel(shortages, fleet, machineTypes_))
+    cancelDrain(shard, fleet.machines[*index].id);
   if (policy::isBelowTarget(fleet, target)) return cancelOneDrain(shard);
   if (auto smaller =
           policy::cheaperReplacement(fleet, target, machineTypes_, unavailableOfferings(), kMinAgeS);
@@ -194,9 +231,14 @@
   auto& machines = loads_[shard].load.machines;
   auto drained = std::find_if(machines.begin(), machines.end(),
                               [](const auto& machine) { return machine.draining && machine.idleS <= 0; });
-  if (drained == machines.end()) return;
-  drained->draining = false;
-  callbacks_.sendDirective({shard.value, drained->machine, mesh::MachineDirective::Keep, 0});
+  if (drained != machines.end()) cancelDrain(shard, MachineId{drained->machine});
+}
+
+void Autoscaler::cancelDrain(ShardId shard, const MachineId& machine) {
+  for (auto& load : loads_[shard].load.machines)
+    if (load.machine == machine.value) load.draining = false;
+  log_->info("machine drain cancelled: machine={} shard={}", machine.value, shard.value);
+  callbacks_.sendDirective({shard.value, machine.value, mesh::MachineDirective::Keep, 0});
 }
 
 void Autoscaler::releaseIdleMachines(ShardId shard, const policy::ShardFleet& fleet,
@@ -255,18 +297,37 @@
     for (const auto& [from, fleet] : fleets) {
       if (from == to) continue;
       double spareCores = policy::capacityCores(fleet) - targets.at(from).total;
-      moveFrom(from, {to, recipient.spotAllowed.waiting > 0}, spareCores, missingCores, scope);
+      moveFrom(from, {to, recipient, recipient.spotAllowed.waiting > 0}, fleet, spareCores, missingCores,
+               scope);
     }
   }
 }
 
-void Autoscaler::moveFrom(ShardId from, const MoveDestination& destination, double spareCores,
-                          double& missingCores, MoveScope scope) {
+// The machines that move to a shard count for its waiting tasks, although they are not recorded there yet.
+void Autoscaler::addMachinesOnTheMove(std::map<ShardId, policy::ShardFleet>& fleets) const {
+  for (const auto& [id, move] : pendingMoves_) {
+    auto machine = view_.machines.find(id);
+    auto destination = fleets.find(move.to);
+    if (machine == view_.machines.end() || destination == fleets.end()) continue;
+    const auto& record = machine->second.record;
+    if (record.shard == move.to) continue;
+    policy::FleetMachine moving{record.type, record.zone, record.spot};
+    moving.id = id;
+    moving.inReport = false;
+    destination->second.machines.push_back(moving);
+  }
+}
+
+void Autoscaler::moveFrom(ShardId from, const MoveDestination& destination, const policy::ShardFleet& fleet,
+                          double spareCores, double& missingCores, MoveScope scope) {
   for (auto& machine : loads_[from].load.machines) {
     const auto* type = findType(machineTypes_, machine.type);
     bool canBeMoved = machine.draining || (machine.usable && type && type->size.cores <= spareCores);
     if (missingCores <= 0 || !type || machine.idleS <= 0 || !canBeMoved) continue;
     if (machine.spot && !destination.acceptsSpot) continue;
+    policy::InstanceOffering offering{machine.type, Zone{machine.zone}, machine.spot};
+    if (!policy::suitsWaitingTasks(destination.fleet, machineTypes_, offering)) continue;
+    if (fleet.neededOfferings.count(offering) > 0) continue;
     if (!shouldSendDirective(MachineId{machine.machine})) continue;
     if (!machine.draining) spareCores -= type->size.cores;
     missingCores -= type->size.cores;
--- a/src/autoscaler/scale_out.cpp
+++ b/src/autoscaler/scale_out.cpp
@@ -40,11 +40,15 @@
 }
 
 void ScaleOut::addPendingMachines(ShardId shard, policy::ShardFleet& fleet) const {
-  for (const auto& openRequest : openRequests_) {
-    if (openRequest->shard != shard) continue;
-    const auto& request = openRequest->request;
-    fleet.machines.push_back({request.type, request.zone, request.spot, openRequest->cores, true, -1});
-  }
+  auto add = [&](const policy::InstanceOffering& offering, double cores, unsigned count) {
+    policy::FleetMachine machine{offering.type, offering.zone, offering.spot, cores, true, -1};
+    machine.inReport = false;
+    machine.count = count;
+    fleet.machines.push_back(machine);
+  };
+  for (const auto& openRequest : openRequests_)
+    if (openRequest->shard == shard)
+      add(offeringOf(openRequest->request), openRequest->cores, openRequest->request.count);
 }
 
 policy::InstanceOfferings ScaleOut::unavailableOfferings() const {
--- a/src/base/job.h
+++ b/src/base/job.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -46,6 +48,20 @@
   }
 };
 
+// How many tasks of that size fit into the available resources.
+inline std::uint32_t tasksThatFit(const Resources& each, const Resources& available) {
+  constexpr std::uint32_t kUnlimited = std::numeric_limits<std::uint32_t>::max();
+  if (!each.fitsIn(available)) return 0;
+  auto limit = static_cast<double>(kUnlimited);
+  auto restrict = [&limit](double needed, double present) {
+    if (needed > 0) limit = std::min(limit, std::floor((present + kResourceTolerance) / needed));
+  };
+  restrict(each.cores, available.cores);
+  restrict(each.gpus, available.gpus);
+  restrict(each.ram, available.ram);
+  return static_cast<std::uint32_t>(limit);
+}
+
 // Specification of a job as submitted by its user. All tasks of a job are identical.
 struct JobSpec {
   JobId id;
--- a/src/mesh/messages.cpp
+++ b/src/mesh/messages.cpp
@@ -11,6 +11,8 @@
   {
     cereal::PortableBinaryOutputArchive archive(out);
     archive(frame);
+    const auto* load = std::get_if<ShardLoad>(&frame.payload);
+    if (load && load->details) archive(*load->details);
   }
   return out.str();
 }
@@ -21,6 +23,9 @@
     cereal::PortableBinaryInputArchive archive(in);
     Frame frame;
     archive(frame);
+    auto* load = std::get_if<ShardLoad>(&frame.payload);
+    bool moreBytes = in.peek() != std::istringstream::traits_type::eof();
+    if (load && moreBytes) archive(load->details.emplace());
     return frame;
   } catch (
       const std::exception&) {  // cereal throws on malformed input; a corrupt length may also throw bad_alloc
--- a/src/mesh/messages.h
+++ b/src/mesh/messages.h
@@ -10,6 +10,8 @@
 #include <variant>
 #include <vector>
 
+#include "mesh/load_messages.h"
+
 namespace cherryloft::mesh {
 
 struct OwnedShard {
@@ -103,57 +105,6 @@
   }
 };
 
-struct MachineLoad {
-  std::string machine;
-  std::string type;
-  std::string zone;
-  bool spot = false;
-  double freeCores = 0;
-  double idleS = 0;  // how long it has run no tasks
-  bool usable = false;
-  bool decommissioning = false;
-  bool draining = false;
-  bool pinned = false;  // runs service replicas that fit on no other machine
-  double ageS = 0;
-  template <class A>
-  void serialize(A& a) {
-    a(machine, type, zone, spot, freeCores, idleS, usable, decommissioning, draining, pinned, ageS);
-  }
-};
-
-// Demand for one kind of capacity in a shard, in cores unless noted otherwise.
-struct Demand {
-  double used = 0;
-  double waiting = 0;       // of waiting tasks within their teams' quotas
-  double arriving = 0;      // recent arrival rate, cores per second
-  double departing = 0;     // recent rate of cores freed by completed tasks, per second
-  double expectedRunS = 0;  // declared task duration in seconds, mean weighted by cores
-  double largestTask = 0;
-  double largestJob = 0;  // of recently submitted jobs
-  double ramPerCore = 0;
-  std::vector<std::string> types;       // empty: any
-  std::vector<std::string> stuckZones;  // zones short of machines for tasks bound to them
-  template <class A>
-  void serialize(A& a) {
-    a(used, waiting, arriving, departing, expectedRunS, largestTask, largestJob, ramPerCore, types,
-      stuckZones);
-  }
-};
-
-// From a shard's owner to the leader, at a fixed interval.
-struct ShardLoad {
-  std::uint32_t shard = 0;
-  std::uint64_t epoch = 0;
-  Demand onDemandOnly;  // of jobs restricted to on-demand machines
-  Demand spotAllowed;   // of jobs that may also run on spot machines
-  // Only machines that are idle, accept no tasks or are the best candidates for draining.
-  std::vector<MachineLoad> machines;
-  template <class A>
-  void serialize(A& a) {
-    a(shard, epoch, onDemandOnly, spotAllowed, machines);
-  }
-};
-
 // From the leader to a shard's owner: what to do with one of its machines.
 struct MachineDirective {
   enum Kind : std::int32_t {
@@ -195,16 +146,6 @@
   }
 };
 
-// A number of tasks that may be placed in a zone, or that fit there. Empty zone name: all zones combined.
-struct ZoneTasks {
-  std::string zone;
-  std::uint32_t tasks = 0;
-  template <class A>
-  void serialize(A& a) {
-    a(zone, tasks);
-  }
-};
-
 // Waiting tasks that the job's shard has no capacity for, of a job whose other tasks are placed or done or
 // that must be placed as a whole.
 struct TaskCapacityNeed {
@@ -239,7 +180,8 @@
   }
 };
 
-// Append new message types at the end: older controllers reject frames of a type they do not know.
+// Append new message types at the end: older controllers reject frames of a type they do not know, and close
+// the connection. Fields cannot be added to a message either, except as ShardLoad::details.
 using Payload = std::variant<PeerHeartbeat, JobRequest, RelayedHeartbeat, ProbeRequest, Answer,
                              UnrecordedMachineSeen, ShardLoad, MachineDirective, JobEnded, CapacityRequest,
                              CapacityOffer, TaskCapacityRequest, TaskCapacityOffer>;
@@ -254,6 +196,7 @@
   }
 };
 
+// The details of a ShardLoad follow the frame: versions that do not know them read no further than the frame.
 std::string encode(const Frame& frame);
 // Returns nullopt when the bytes are not a valid frame.
 std::optional<Frame> decode(const std::string& bytes);
--- a/src/policy/autoscaling.cpp
+++ b/src/policy/autoscaling.cpp
@@ -4,13 +4,17 @@
 #include <cmath>
 #include <map>
 
+#include "policy/waiting_tasks.h"
+
 namespace cherryloft::policy {
 namespace {
 
-constexpr double kShortageTolerance = 0.5;  // cores below a target that trigger no request
-constexpr double kIdleBootTimes = 1.0;      // boot times for which an idle machine is kept
-constexpr double kMinBilledS = 55;          // the cloud charges for at least one minute
-constexpr double kMaxPerRequest = 50;       // machines in one request
+constexpr double kShortageTolerance = 0.5;     // cores below a target that trigger no request
+constexpr double kIdleBootTimes = 1.0;         // boot times for which an idle machine is kept
+constexpr double kMinBilledS = 55;             // the cloud charges for at least one minute
+constexpr double kMaxPerRequest = 50;          // machines in one request
+constexpr double kBootTimeoutBootTimes = 2.0;  // a machine that boots for longer is not expected any more
+constexpr double kBootTimeoutMarginS = 5;
 // Headroom above the target that must remain when a machine is given up, as a fraction of the target: in a
 // small fleet, and in a large one, where two machines are added.
 constexpr double kHeadroomSmallFleet = 0.1;
@@ -92,6 +96,10 @@
 
 }  // namespace
 
+bool isExpectedToBoot(const MachineType& type, double ageS) {
+  return ageS < kBootTimeoutBootTimes * type.bootSeconds + kBootTimeoutMarginS;
+}
+
 CapacityTargets computeCapacityTargets(const ShardFleet& fleet, const Catalog& catalog, double spareFraction,
                                        double maxQueueWaitS) {
   double bootSeconds = 0;
@@ -131,29 +139,6 @@
 std::optional<ScaleOutRequest> nextScaleOut(const ShardFleet& fleet, const CapacityTargets& target,
                                             const Catalog& catalog, const InstanceOfferings& unavailable) {
   auto have = capacityOf(fleet);
-  for (const auto* workload : {&fleet.onDemandOnly, &fleet.spotAllowed}) {
-    auto hasCapacityIn = [&](const Zone& zone) {
-      return std::any_of(fleet.machines.begin(), fleet.machines.end(), [&](const auto& machine) {
-        // Booting machines have no used cores yet and qualify; full machines do not.
-        return machine.countsAsCapacity && machine.zone == zone &&
-               (!machine.spot || workload == &fleet.spotAllowed) &&
-               machine.cores - machine.usedCores >= workload->largestTask - kResourceTolerance;
-      });
-    };
-    if (workload->zonesLackingCapacity.empty() ||
-        std::any_of(workload->zonesLackingCapacity.begin(), workload->zonesLackingCapacity.end(),
-                    hasCapacityIn))
-      continue;
-    auto excluded = unavailable;
-    for (const auto& type : catalog)
-      for (const auto& zone : type.zones)
-        for (bool spot : {false, true})
-          if (std::find(workload->zonesLackingCapacity.begin(), workload->zonesLackingCapacity.end(), zone) ==
-              workload->zonesLackingCapacity.end())
-            excluded.insert({type.name, zone, spot});
-    if (auto request = cheapestRequest(fleet, *workload, workload->largestTask, false, catalog, excluded))
-      return request;
-  }
   if (target.onDemand - have.onDemand > kShortageTolerance) {
     auto request = cheapestRequest(fleet, fleet.onDemandOnly, target.onDemand - have.onDemand, false, catalog,
                                    unavailable);
@@ -190,6 +175,7 @@
     const auto* type = findType(catalog, machine.type);
     if (machine.spot || machine.pinned || !machine.countsAsCapacity || !type || machine.ageS < minAgeS)
       continue;
+    if (isNeededByWaitingTasks(fleet, machine)) continue;
     double missing = std::max(
         target.onDemand - (have.onDemand - machine.cores),
         target.total + headroom(target.total, catalog) - (have.onDemand + have.spot - machine.cores));
@@ -213,7 +199,8 @@
   double bestPrice = 0;
   for (std::size_t i = 0; i < fleet.machines.size(); ++i) {
     const auto& machine = fleet.machines[i];
-    if (!machine.countsAsCapacity || machine.idleS < minIdleS) continue;
+    if (!machine.countsAsCapacity || machine.idleS < minIdleS || isNeededByWaitingTasks(fleet, machine))
+      continue;
     const auto* type = findType(catalog, machine.type);
     // If the capacity were needed again, a new machine would have to boot, and would be paid for meanwhile.
     // On-demand machines are not kept for that while there is ample capacity.
@@ -245,6 +232,7 @@
     // Idle machines are released first and need no draining: their capacity is not counted on.
     if (machine.idleS >= 0) (machine.spot ? have.spot : have.onDemand) -= machine.cores;
     if (machine.draining || machine.pinned || machine.idleS >= 0 || machine.ageS < minAgeS) continue;
+    if (isNeededByWaitingTasks(fleet, machine)) continue;
     if (const auto* type = findType(catalog, machine.type))
       choices.emplace_back((machine.spot ? type->spotPrice : type->price) / (machine.usedCores + 1), i);
   }
--- a/src/policy/autoscaling.h
+++ b/src/policy/autoscaling.h
@@ -3,51 +3,14 @@
 #pragma once
 
 #include <optional>
-#include <set>
-#include <string>
 #include <vector>
 
-#include "base/job.h"
-#include "policy/offerings.h"
+#include "policy/fleet.h"
 
 namespace cherryloft::policy {
 
-// Demand for one class of capacity in a shard, in cores unless stated otherwise.
-struct Workload {
-  double used = 0;
-  double waiting = 0;
-  double arriving = 0;   // recent arrival rate, cores per second
-  double departing = 0;  // recent completion rate, cores per second
-  double runS = 0;       // mean run time of tasks, as declared by users
-  double largestTask = 0;
-  double largestJob = 0;  // of the recent arrivals
-  double ramPerCore = 0;
-  std::vector<std::string> types;  // allowed machine types; empty: any
-  // The only zones allowed for some waiting tasks, and short of machines.
-  std::vector<Zone> zonesLackingCapacity;
-};
-
-// A machine of a shard, as known to the leader.
-struct FleetMachine {
-  std::string type;
-  Zone zone;
-  bool spot = false;
-  double cores = 0;
-  bool countsAsCapacity = false;  // in use, or booting and expected to be
-  double idleS = -1;              // negative: busy or not up yet
-  double usedCores = 0;
-  double ageS = 0;
-  bool draining = false;
-  bool pinned = false;  // must not be drained at present
-  MachineId id{};       // empty: still being provisioned
-};
-
-// The demand and the machines of a shard.
-struct ShardFleet {
-  Workload onDemandOnly;  // work that must not run on spot machines
-  Workload spotAllowed;
-  std::vector<FleetMachine> machines;
-};
+// Whether a booting machine of that age still counts as capacity.
+bool isExpectedToBoot(const MachineType& type, double ageS);
 
 // The capacity that a shard should have, in cores.
 struct CapacityTargets {
@@ -62,15 +25,9 @@
 CapacityTargets computeCapacityTargets(const ShardFleet& fleet, const Catalog& catalog, double spareFraction,
                                        double maxQueueWaitS);
 
-// A request for a number of machines of one offering.
-struct ScaleOutRequest {
-  InstanceOffering offering;
-  unsigned count = 1;
-  double cores = 0;  // that the work can use, of all requested machines
-};
 // Capacity is below a target for which on-demand machines are requested.
 bool isBelowTarget(const ShardFleet& fleet, const CapacityTargets& target);
-// The next scale-out request; nothing if the targets are met or no suitable offering is available.
+// The next scale-out request for the targets; nothing if they are met or no suitable offering is available.
 std::optional<ScaleOutRequest> nextScaleOut(const ShardFleet& fleet, const CapacityTargets& target,
                                             const Catalog& catalog, const InstanceOfferings& unavailable);
 
--- a/src/scheduler/load_reporter.cpp
+++ b/src/scheduler/load_reporter.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "scheduler/demand_summary.h"
+
 namespace cherryloft {
 namespace {
 constexpr Duration kReportInterval{1'000};
@@ -14,23 +16,21 @@
 // Time windows over which the rates of arriving and of completed work are measured.
 constexpr Duration kArrivalWindow{120'000};
 constexpr Duration kCompletionWindow{20'000};
-// Once a job has waited this long, full machines in its zones no longer count as able to take it.
-constexpr Duration kZoneFullAfter{10'000};
-// Limits the cost of a report in a shard with many full machines.
-constexpr unsigned kMaxMachinesExaminedPerPool = 64;
 
-mesh::Demand& demandOf(mesh::ShardLoad& load, bool spotAllowed) {
+mesh::Demand& demandOf(mesh::LoadDetails& load, bool spotAllowed) {
   return spotAllowed ? load.spotAllowed : load.onDemandOnly;
 }
 }  // namespace
 
-LoadReporter::LoadReporter(const Settings& settings, const Runtime& runtime, ShardTakeover takeover,
-                           ShardState& state, const FailureAttribution& failures, Callbacks callbacks)
-    : settings_(settings),
+LoadReporter::LoadReporter(const Settings& settings, const Catalog& catalog, const Runtime& runtime,
+                           ShardTakeover takeover, const ShardState& state,
+                           const FailureAttribution& failures, CapacityDemand::Rules rules,
+                           Callbacks callbacks)
+    : catalog_(catalog),
       runtime_(runtime),
       takeover_(takeover),
       state_(state),
-      failures_(failures),
+      demand_(settings, catalog, runtime, state, failures, std::move(rules)),
       callbacks_(std::move(callbacks)) {}
 
 void LoadReporter::recordArrivedWork(Time at, double cores, bool spotAllowed) {
@@ -52,103 +52,63 @@
   mesh::ShardLoad load;
   load.shard = takeover_.shard.value;
   load.epoch = takeover_.epoch.value;
-  countBootingMachines();
-  addJobs(load, now);
-  addRecentWork(load, now);
+  auto& details = load.details.emplace();
+  addJobs(details);
+  addRecentWork(details, now);
+  details.machinesVersion = machinesVersion();
+  load.onDemandOnly = demandForOlderLeader(details, false);
+  load.spotAllowed = demandForOlderLeader(details, true);
   for (const Machine* machine : machinesToReport()) load.machines.push_back(describe(*machine, now));
+  ++reportsSent_;
   return load;
 }
 
-void LoadReporter::countBootingMachines() {
-  for (auto& pool : state_.pools()) pool.booting = 0;
-  for (auto& [_, machine] : state_.machines())
-    machine.pool->booting += !machine.registered && machine.known.record.address.empty() &&
-                             machine.known.record.phase == wire::MachinePhase::InUse;
-}
-
 // --- work ---
 
-void LoadReporter::UnfinishedWork::add(const Job& job) {
-  auto unfinished = job.unfinished().cores;
-  coreSeconds += unfinished * job.spec->expectedRunSeconds;
-  cores += unfinished;
-}
-
-void LoadReporter::UnfinishedWork::setRunTime(mesh::Demand& demand) const {
-  if (cores > 0) demand.expectedRunS = coreSeconds / cores;
-}
-
-void LoadReporter::addJobs(mesh::ShardLoad& load, Time now) const {
-  UnfinishedWork onDemandOnly;
-  UnfinishedWork spotAllowed;
+void LoadReporter::addJobs(mesh::LoadDetails& load) {
+  std::array<DemandSummary, 2> summaries{DemandSummary{catalog_}, DemandSummary{catalog_}};
   for (const auto& [_, job] : state_.jobs()) {
-    demandOf(load, job.spec->spotAllowed).used += job.spec->each.cores * job.placed;
+    const auto& spec = *job.spec;
+    demandOf(load, spec.spotAllowed).used += spec.each.cores * job.placed;
     if (!job.open()) continue;
-    addOpenJob(job, load, now);
-    (job.spec->spotAllowed ? spotAllowed : onDemandOnly).add(job);
+    summaries.at(spec.spotAllowed ? 1 : 0).addOpen(spec, job.unfinished().cores, demand_.suitableTypes(spec));
   }
-  onDemandOnly.setRunTime(load.onDemandOnly);
-  spotAllowed.setRunTime(load.spotAllowed);
-}
-
-void LoadReporter::addOpenJob(const Job& job, mesh::ShardLoad& load, Time now) const {
-  const auto& spec = *job.spec;
-  const auto& each = spec.each;
-  auto& demand = demandOf(load, spec.spotAllowed);
-  double coresWithinQuota =
-      job.team ? std::max(0.0, job.team->coreQuota - state_.teamUsage(spec.team).cores) : 0;
-  auto waiting = tasksNeedingCapacity(job, now);
-  auto& waitingDemand = callbacks_.avoidsSpot(job) ? load.onDemandOnly : demand;
-  waitingDemand.waiting += std::min(each.cores * static_cast<double>(waiting), coresWithinQuota);
-  demand.largestTask = std::max(demand.largestTask, each.cores);
-  if (each.cores > 0) demand.ramPerCore = std::max(demand.ramPerCore, each.ram / each.cores);
-  if (spec.types) demand.types = *spec.types;
-
-  bool waits =
-      !job.waiting.empty() && coresWithinQuota >= each.cores - kResourceTolerance && now >= job.notBefore;
-  if (!waits || !(spec.spread || spec.zone || spec.oneZone)) return;
-  // If there are several such jobs, the zones of the last one are reported.
-  if (auto zones = zonesLackingCapacity(job, now)) demand.stuckZones = std::move(*zones);
-}
-
-// A job that has failed repeatedly and never succeeded is tried with one task at a time, and between two
-// tries it causes no demand, so that no machines are rented or kept for it.
-std::size_t LoadReporter::tasksNeedingCapacity(const Job& job, Time now) const {
-  if (job.maxConcurrent)
-    return std::min<std::size_t>(job.waiting.size(),
-                                 *job.maxConcurrent - std::min(job.placed, *job.maxConcurrent));
-  if (!failures_.isSuspect(job.id)) return job.waiting.size();
-  return now < job.notBefore ? 0 : std::min<std::size_t>(job.waiting.size(), 1);
-}
-
-std::optional<std::vector<std::string>> LoadReporter::zonesLackingCapacity(const Job& job, Time now) const {
-  std::vector<std::string> allowed;
-  bool hasWaitedLong = now - std::max(job.since, job.lastPlacedAt) > kZoneFullAfter;
-  for (const auto& zone : settings_.zones) {
-    if (!callbacks_.zoneAllows(job, zone)) continue;
-    if (zoneMayTake(zone, job, hasWaitedLong)) return std::nullopt;
-    allowed.push_back(zone.value);
+  auto waitingJobs = demand_.waitingJobs();
+  for (const auto& waiting : waitingJobs) {
+    const auto& spec = *waiting.job->spec;
+    bool mayUseSpot = spec.spotAllowed && !waiting.avoidsSpot;
+    double cores = spec.each.cores * waiting.tasks;
+    demandOf(load, mayUseSpot).waiting += cores;
+    summaries.at(mayUseSpot ? 1 : 0).addWaiting(spec, cores, waiting.types);
   }
-  return allowed;
-}
-
-// Whether a machine in the zone could ever take a task of the job or, once the job has waited too long,
-// whether one can take it now or is booting.
-bool LoadReporter::zoneMayTake(const Zone& zone, const Job& job, bool hasWaitedLong) const {
-  const auto& spec = *job.spec;
-  auto mayTake = [&](const MachinePool& pool) {
-    bool fits = pool.zone == zone && spec.allowsType(pool.type) && spec.each.fitsIn(pool.size) &&
-                (!pool.spot || spec.spotAllowed);
-    if (!fits) return false;
-    if (!hasWaitedLong) return pool.machines > 0;
-    // A booting machine will be available soon; other machines count only if they have free capacity.
-    return pool.booting > 0 ||
-           pool.hasCapacity(spec.each, kMaxMachinesExaminedPerPool, [](const Machine&) { return true; });
-  };
-  return std::any_of(state_.pools().begin(), state_.pools().end(), mayTake);
-}
-
-void LoadReporter::addRecentWork(mesh::ShardLoad& load, Time now) {
+  summaries[0].writeTo(load.onDemandOnly);
+  summaries[1].writeTo(load.spotAllowed);
+  load.waiting = demand_.groups(waitingJobs);
+}
+
+// A leader that does not know the details rents for a task of the sizes, types and zones given here: those of
+// one group that lacks capacity, a different one in each report.
+mesh::Demand LoadReporter::demandForOlderLeader(const mesh::LoadDetails& load, bool spotAllowed) const {
+  auto demand = spotAllowed ? load.spotAllowed : load.onDemandOnly;
+  std::vector<const mesh::WaitingTaskGroup*> lacking;
+  for (const auto& group : load.waiting)
+    if (group.lacking > 0 && group.spotAllowed == spotAllowed && group.cores > 0) lacking.push_back(&group);
+  if (lacking.empty()) return demand;
+  const auto& group = *lacking[reportsSent_ % lacking.size()];
+  demand.largestTask = group.cores;
+  demand.ramPerCore = group.ramGb / group.cores;
+  demand.types = group.types;
+  for (const auto& zone : group.zones) demand.stuckZones.push_back(zone.zone);
+  return demand;
+}
+
+std::uint64_t LoadReporter::machinesVersion() const {
+  std::uint64_t latest = 0;
+  for (const auto& [_, machine] : state_.machines()) latest = std::max(latest, machine.known.version.value);
+  return latest;
+}
+
+void LoadReporter::addRecentWork(mesh::LoadDetails& load, Time now) {
   while (!arrived_.empty() && now - arrived_.front().at > kArrivalWindow) arrived_.pop_front();
   for (const auto& work : arrived_) {
     auto& demand = demandOf(load, work.spotAllowed);
--- a/src/scheduler/machine_pool.h
+++ b/src/scheduler/machine_pool.h
@@ -21,7 +21,6 @@
   Resources size;            // of each machine; zero while the type is not in the catalog
   double fetchGbPerS = 0;    // image download rate of a machine
   std::size_t machines = 0;  // all machines, open for new work or not
-  std::size_t booting = 0;   // machines without a first heartbeat, as of the last load report
   // Machines open for new work, by free cores and machine number. Maintained by ShardState::reindex().
   using ByFreeCores = std::map<std::pair<double, std::uint32_t>, Machine*>;
   ByFreeCores byFreeCores;
--- a/src/scheduler/placement_constraints.cpp
+++ b/src/scheduler/placement_constraints.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/placement_constraints.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cherryloft {
 namespace {
@@ -10,21 +11,29 @@
 constexpr double kAfterLossFraction = 0.5;   // limit for age plus run time of a job that already lost a task
 constexpr double kInfeasibleFraction = 1.3;  // age plus run time above this: the objective is missed anyway
 
+constexpr std::uint32_t kNoTaskLimit = std::numeric_limits<std::uint32_t>::max();
+
 }  // namespace
 
 bool PlacementConstraints::allowsZone(const Job& job, const Zone& zone, unsigned planned) const {
+  return tasksAllowedIn(job, zone) > planned;
+}
+
+std::uint32_t PlacementConstraints::tasksAllowedIn(const Job& job, const Zone& zone) const {
   const auto& spec = *job.spec;
-  if (spec.zone && *spec.zone != zone) return false;
-  if (job.requiredZone && *job.requiredZone != zone) return false;
+  if (spec.zone && *spec.zone != zone) return 0;
+  if (job.requiredZone && *job.requiredZone != zone) return 0;
   // The shard that owns a delegated job enforces its other zone rules (invariant 18).
-  if (job.delegation) return !job.delegation->zone || *job.delegation->zone == zone;
+  if (job.delegation) return !job.delegation->zone || *job.delegation->zone == zone ? kNoTaskLimit : 0;
   if (spec.oneZone && !job.zones.empty()) {
     bool allTasksInZone = job.zones.size() == 1 && job.zones.begin()->first == zone;
-    if (!allTasksInZone) return false;
+    if (!allTasksInZone) return 0;
   }
-  if (!spec.spread) return true;
+  if (!spec.spread) return kNoTaskLimit;
   auto tasksInZone = job.zones.find(zone);
-  return (tasksInZone == job.zones.end() ? 0 : tasksInZone->second) + planned + 1 <= (spec.tasks + 1) / 2;
+  auto placed = tasksInZone == job.zones.end() ? 0 : tasksInZone->second;
+  auto limit = (spec.tasks + 1) / 2;
+  return limit - std::min(placed, limit);
 }
 
 bool PlacementConstraints::allowsPool(const Job& job, const MachinePool& pool) const {
--- a/src/scheduler/placement_constraints.h
+++ b/src/scheduler/placement_constraints.h
@@ -19,6 +19,8 @@
   // Whether the job's zone rules allow one more task in the zone, besides `planned` ones not yet placed
   // there.
   [[nodiscard]] bool allowsZone(const Job& job, const Zone& zone, unsigned planned = 0) const;
+  // How many more tasks of the job its zone rules allow in the zone.
+  [[nodiscard]] std::uint32_t tasksAllowedIn(const Job& job, const Zone& zone) const;
   // Checks machine type, spot or on-demand, and zone, which all machines of a pool share.
   [[nodiscard]] bool allowsPool(const Job& job, const MachinePool& pool) const;
   // Checks machine type, spot or on-demand, and the job's failure history on the machine; not the zone.
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -31,10 +31,13 @@
           [this](const Job& job, const Zone& zone) { return constraints_.allowsZone(job, zone); }, log_),
       delegatedTasks_(settings, view, state_, takeover.shard, log_),
       loadReporter_(
-          settings, runtime, takeover, state_, failures_,
+          settings, view.catalog, runtime, takeover, state_, failures_,
           {[this](const Job& job) { return constraints_.shouldAvoidSpot(job); },
-           [this](const Job& job, const Zone& zone) { return constraints_.allowsZone(job, zone); },
-           [this](const Machine& machine) { return movableReplicas(machine).has_value(); }, callbacks_.load}),
+           [this](const Job& job, const Zone& zone) { return constraints_.tasksAllowedIn(job, zone); },
+           [this](const Job& job, const Machine& machine) {
+             return constraints_.allowsMachine(job, machine);
+           }},
+          {[this](const Machine& machine) { return movableReplicas(machine).has_value(); }, callbacks_.load}),
       machineRecordWriter_(settings, runtime, store, view, takeover, state_, callbacks_.dropOwnership) {}
 
 void ShardScheduler::start() {
--- a/tests/unit/load_reporter_test.cpp
+++ b/tests/unit/load_reporter_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
+#include "scheduler/placement_constraints.h"
 #include "unit/pending_calls_runtime.h"
 #include "world/world.h"
 
@@ -26,7 +29,7 @@
     return entry;
   }
   Machine& addMachine(const std::string& id) {
-    MachineType type{"m", {kCoresOfMachine, 0, 100}, 50, 1, 1, 0.4, 5, {settings_.zones.at(0)}};
+    const auto& type = catalog_.at(0);
     MachineEntry entry;
     entry.record.type = "m";
     entry.record.zone = settings_.zones.at(0);
@@ -43,18 +46,23 @@
   void wait(Duration duration) { runtime_.clock.run(runtime_.clock.now() + duration.count()); }
 
   Settings settings_ = parseSettings(world::Deployment{}.settingsJson(0), {});
+  Catalog catalog_{{"m", {kCoresOfMachine, 0, 100}, 50, 1, 1, 0.4, 5, {settings_.zones.at(0)}}};
   PendingCallsRuntime runtime_;
   ShardState state_{settings_};
   FailureAttribution failures_{Duration{3'000}};
   std::vector<mesh::ShardLoad> sent_;
+  PlacementConstraints constraints_{settings_, state_, failures_, runtime_};
   LoadReporter reporter_{
       settings_,
+      catalog_,
       runtime_,
       ShardTakeover{ShardId{2}, Epoch{7}, Version{70}},
       state_,
       failures_,
-      {[](const Job&) { return false; }, [](const Job&, const Zone&) { return true; },
-       [](const Machine&) { return true; }, [this](const mesh::ShardLoad& load) { sent_.push_back(load); }}};
+      {[](const Job&) { return false; },
+       [this](const Job& job, const Zone& zone) { return constraints_.tasksAllowedIn(job, zone); },
+       [this](const Job& job, const Machine& machine) { return constraints_.allowsMachine(job, machine); }},
+      {[](const Machine&) { return true; }, [this](const mesh::ShardLoad& load) { sent_.push_back(load); }}};
 };
 
 TEST_F(LoadReporterTest, ReportsOncePerInterval) {
@@ -124,6 +132,37 @@
   EXPECT_FALSE(report().machines[0].pinned);
 }
 
+// A leader of an earlier version reads the demands only: they describe a task that exists.
+TEST_F(LoadReporterTest, DemandsForAnEarlierLeaderDescribeTheTasksThatLackCapacityInTurn) {
+  auto addJob = [&](const std::string& id, const Resources& each) {
+    auto entry = jobEntry(id, 1, 1);
+    auto spec = std::make_shared<JobSpec>(*entry.spec);
+    spec->each = each;
+    entry.spec = spec;
+    state_.addJob(JobId{id}, entry);
+  };
+  addJob("memory", {1, 0, 12});
+  addJob("large", {12, 0, 12});
+  std::set<std::pair<double, double>> described;  // cores, memory of one task
+  for (int second = 0; second < 2; ++second) {
+    const auto& demand = report().onDemandOnly;
+    EXPECT_FALSE(demand.stuckZones.empty());
+    described.insert({demand.largestTask, demand.largestTask * demand.ramPerCore});
+    wait(Duration{1'000});
+  }
+  EXPECT_EQ(described, (std::set<std::pair<double, double>>{{1, 12}, {12, 12}}));
+}
+
+TEST_F(LoadReporterTest, WorkAsAWholeIsDescribedByItsMeanMemory) {
+  state_.addJob(JobId{"a"}, jobEntry("a", 3, 2));
+  const auto& details = report().details;
+  ASSERT_TRUE(details);
+  EXPECT_EQ(details->onDemandOnly.largestTask, 2);
+  EXPECT_EQ(details->onDemandOnly.ramPerCore, 1);
+  EXPECT_EQ(details->onDemandOnly.waiting, 6);
+  EXPECT_EQ(details->waiting.size(), 1U);
+}
+
 TEST_F(LoadReporterTest, OnlyAllowedZoneWithoutMachinesIsReportedAsStuck) {
   auto entry = jobEntry("a", 1, 1);
   auto spec = std::make_shared<JobSpec>(*entry.spec);
--- a/tests/unit/policy_test.cpp
+++ b/tests/unit/policy_test.cpp
@@ -101,7 +101,7 @@
   Catalog catalog{{"s", {8, 0, 16}, 30, 1, 0.48, 0.13, 30, {Zone{"a"}}},
                   {"l", {32, 0, 128}, 50, 1, 2.18, 0.61, 20, {Zone{"a"}, Zone{"b"}}}};
   ShardFleet fleet;
-  fleet.spotAllowed = {0, 32, 0, 0, 0, 4, 0, 1, {}, {}};
+  fleet.spotAllowed = {0, 32, 0, 0, 0, 4, 0, 1, {}};
   auto target = computeCapacityTargets(fleet, catalog, 0, 0);
   auto request = nextScaleOut(fleet, target, catalog, {});
   ASSERT_TRUE(request);
