Scale out: provisioned machines count until they are recorded

What callers saw: machines rented twice for one shortage while records are written slowly. Cause: an open request counted as capacity until the cloud's answer, and the machine again from its record on; in between, for as long as the state service takes, it counted nowhere and the shortage was rented for once more. A request that the cloud rejects (400) was repeated twice a second. Change: ScaleOut keeps the provisioned machines until their records are in the view. A rejected offering rests as one without capacity does. Evidence: ScaleOutTest.ProvisionedMachinesCountUntilTheyAreRecorded and AnOfferingThatTheCloudRejectsIsUnavailable describe behaviour that the code before does not have (no machine between answer and record, no backoff after 400).

--- a/src/autoscaler/scale_out.cpp
+++ b/src/autoscaler/scale_out.cpp
@@ -49,6 +49,12 @@
   for (const auto& openRequest : openRequests_)
     if (openRequest->shard == shard)
       add(offeringOf(openRequest->request), openRequest->cores, openRequest->request.count);
+  for (const auto& [id, machine] : provisioned_)
+    if (machine.shard == shard && awaitsRecord(id)) add(machine.offering, machine.cores, 1);
+}
+
+bool ScaleOut::awaitsRecord(const MachineId& id) const {
+  return records_.isPending(id) && context_.clusterView.machines.count(id) == 0;
 }
 
 policy::InstanceOfferings ScaleOut::unavailableOfferings() const {
@@ -68,10 +74,10 @@
   if (machines) {
     handleProvisioned(*openRequest, *machines);
     removeRequest(openRequest);
-  } else if (isOutOfCapacity(result)) {
+  } else if (isOutOfCapacity(result) || result.answered(400)) {
     markUnavailable(offeringOf(openRequest->request));
     removeRequest(openRequest);
-  } else if (result.answered(400) || !context_.leadership.active) {
+  } else if (!context_.leadership.active) {
     removeRequest(openRequest);
   } else {
     scheduleRetry(openRequest);
@@ -82,9 +88,13 @@
   const auto& request = openRequest.request;
   wire::MachineGroupRecord group{openRequest.shard,       Epoch{}, request.type, request.zone, request.spot,
                                  context_.runtime.wall(), {}};
-  for (const auto& id : machines) group.members.push_back({id, wire::MachinePhase::InUse, ""});
-  records_.create(group);
   auto offering = offeringOf(request);
+  std::erase_if(provisioned_, [this](const auto& entry) { return !awaitsRecord(entry.first); });
+  for (const auto& id : machines) {
+    group.members.push_back({id, wire::MachinePhase::InUse, ""});
+    provisioned_[id] = {openRequest.shard, offering, openRequest.cores / request.count};
+  }
+  records_.create(group);
   if (machines.size() < request.count)
     unavailableUntil_[offering] = context_.runtime.now() + kInitialBackoff;
   else
--- a/tests/unit/scale_out_test.cpp
+++ b/tests/unit/scale_out_test.cpp
@@ -74,3 +74,22 @@
   scaleOut.markAvailable(request.offering);
   EXPECT_TRUE(scaleOut.unavailableOfferings().empty());
 }
+
+// Guards against renting twice for one shortage while the records of the machines are being written.
+TEST_F(ScaleOutTest, ProvisionedMachinesCountUntilTheyAreRecorded) {
+  scaleOut.requestMachines(ShardId{1}, request);
+  runtime.answer(0, 200, R"({"hosts":["host-000001","host-000002"]})");
+  policy::ShardFleet fleet;
+  scaleOut.addPendingMachines(ShardId{1}, fleet);
+  ASSERT_EQ(fleet.machines.size(), 2U);
+  EXPECT_FALSE(fleet.machines[0].inReport);
+  EXPECT_EQ(fleet.machines[0].cores, 8);
+  clusterView.machines[MachineId{"host-000001"}];
+  EXPECT_EQ(pendingMachines(ShardId{1}), 1U);
+}
+
+TEST_F(ScaleOutTest, AnOfferingThatTheCloudRejectsIsUnavailable) {
+  scaleOut.requestMachines(ShardId{1}, request);
+  runtime.answer(0, 400, "{}");
+  EXPECT_EQ(scaleOut.unavailableOfferings().count(request.offering), 1U);
+}
