Placement: no task on a machine whose cache is smaller than its image

What callers saw: a job whose image fits the cache of one machine type only is placed on any type with free cores. Cause: admission compares the image with the cache, placement did not. Change: PlacementConstraints compares them, for pools and machines. The quota in tasks of remote_capacity uses the common tasksThatFit. Evidence: the scenario image_exceeds_caches fails without this (one machine, with a cache of 10 GB for an image of 40 GB), and passes with it.

--- a/src/scheduler/image_cache.h
+++ b/src/scheduler/image_cache.h
@@ -14,6 +14,7 @@
  public:
   explicit ImageCache(double capacityGb = 0) : capacityGb_(capacityGb) {}
 
+  [[nodiscard]] double capacityGb() const { return capacityGb_; }
   // Records a use of the image and returns the least recently used images evicted to make room for it. The
   // image itself is never evicted, even if it is larger than the cache.
   std::vector<ImageId> touch(const ImageId& image, double sizeGb);
--- a/src/scheduler/machine_pool.h
+++ b/src/scheduler/machine_pool.h
@@ -19,6 +19,7 @@
   Zone zone;
   bool spot = false;
   Resources size;            // of each machine; zero while the type is not in the catalog
+  double cacheGb = 0;        // image cache of each machine
   double fetchGbPerS = 0;    // image download rate of a machine
   std::size_t machines = 0;  // all machines, open for new work or not
   // Machines open for new work, by free cores and machine number. Maintained by ShardState::reindex().
--- a/src/scheduler/placement_constraints.cpp
+++ b/src/scheduler/placement_constraints.cpp
@@ -38,14 +38,14 @@
 
 bool PlacementConstraints::allowsPool(const Job& job, const MachinePool& pool) const {
   const auto& spec = *job.spec;
-  if (!spec.allowsType(pool.type)) return false;
+  if (!spec.allowsType(pool.type) || spec.imageGb > pool.cacheGb) return false;
   if (pool.spot && (!spec.spotAllowed || job.avoidSpot)) return false;
   return allowsZone(job, pool.zone);
 }
 
 bool PlacementConstraints::allowsMachineIgnoringZone(const Job& job, const Machine& machine) const {
   const auto& spec = *job.spec;
-  if (!spec.allowsType(machine.known.record.type)) return false;
+  if (!spec.allowsType(machine.known.record.type) || spec.imageGb > machine.images.capacityGb()) return false;
   if (machine.spot() && (!spec.spotAllowed || job.avoidSpot)) return false;
   return !failures_.shouldAvoid(job.id, machine.id, state_.machines().size(), runtime_.now());
 }
--- a/src/scheduler/placement_constraints.h
+++ b/src/scheduler/placement_constraints.h
@@ -21,9 +21,10 @@
   [[nodiscard]] bool allowsZone(const Job& job, const Zone& zone, unsigned planned = 0) const;
   // How many more tasks of the job its zone rules allow in the zone.
   [[nodiscard]] std::uint32_t tasksAllowedIn(const Job& job, const Zone& zone) const;
-  // Checks machine type, spot or on-demand, and zone, which all machines of a pool share.
+  // Checks machine type, image cache, spot or on-demand, and zone, which all machines of a pool share.
   [[nodiscard]] bool allowsPool(const Job& job, const MachinePool& pool) const;
-  // Checks machine type, spot or on-demand, and the job's failure history on the machine; not the zone.
+  // Checks machine type, image cache, spot or on-demand, and the job's failure history on the machine; not
+  // the zone.
   [[nodiscard]] bool allowsMachineIgnoringZone(const Job& job, const Machine& machine) const;
   // Checks everything except free capacity: the machine accepts work, and is allowed for the job.
   [[nodiscard]] bool allowsMachine(const Job& job, const Machine& machine) const;
--- a/src/scheduler/remote_capacity.cpp
+++ b/src/scheduler/remote_capacity.cpp
@@ -102,13 +102,8 @@
   if (job.maxConcurrent) return *job.maxConcurrent - std::min(*job.maxConcurrent, job.placed + job.remote);
   if (!job.team) return 0;
   auto usage = state_.teamUsage(spec.team);
-  auto tasksIn = [&](double unused, double perTask) {
-    return perTask > 0 ? std::floor((unused + kResourceTolerance) / perTask)
-                       : static_cast<double>(spec.tasks);
-  };
-  double tasks = std::min(tasksIn(job.team->coreQuota - usage.cores, spec.each.cores),
-                          tasksIn(job.team->gpuQuota - usage.gpus, spec.each.gpus));
-  return static_cast<std::uint32_t>(std::clamp(tasks, 0.0, static_cast<double>(spec.tasks)));
+  Resources unused{job.team->coreQuota - usage.cores, job.team->gpuQuota - usage.gpus, 0};
+  return std::min(spec.tasks, tasksThatFit({spec.each.cores, spec.each.gpus, 0}, unused));
 }
 
 // How many tasks of the job another shard may run concurrently; nothing if the team's quota allows none. It
--- a/src/scheduler/shard_state.cpp
+++ b/src/scheduler/shard_state.cpp
@@ -137,6 +137,7 @@
   pool.zone = record.zone;
   pool.spot = record.spot;
   pool.size = machine.size;
+  pool.cacheGb = machine.images.capacityGb();
   pool.fetchGbPerS = machine.fetchGbPerS;
   return pools_.emplace_back(std::move(pool));
 }
@@ -146,6 +147,7 @@
   machine.fetchGbPerS = type.fetchGbPerS;
   machine.images = ImageCache(type.cacheGb);
   machine.pool->size = machine.size;
+  machine.pool->cacheGb = type.cacheGb;
   machine.pool->fetchGbPerS = machine.fetchGbPerS;
   reindex(machine);
 }
