Autoscaling: capacity is counted for the tasks that only it suits

What callers saw: a higher price. Cause: a line about each shortage showed 47 machines rented five times for the same 379 tasks. Older work that may also use spot machines was assigned to each on-demand machine first, so that the report kept lacking them. Machines that had booted, but were not heard from yet, counted nowhere. A whole queue of arrays got on-demand machines when spot ones were refused, and requests of one machine used up the calls to the cloud. Change: groups with fewer choices (on-demand only, fewer types, fewer zones) are assigned first. Machines that take no work yet but will soon count. Without spot machines, arrays get one on-demand machine at a time (gangs all). One request serves a shortage and the targets if both ask for the same offering, and a zone's share is rounded up. New unit tests: CapacityIsAssignedToTasksWithFewerChoicesFirst, AMachineThatBootedAndWasNotHeardFromIsCapacity, ADrainingOrUnheardMachineIsNoCapacity, WithoutSpotMachinesArraysGetOneOnDemandMachineAtATime.

--- a/src/autoscaler/planning.cpp
+++ b/src/autoscaler/planning.cpp
@@ -124,14 +124,16 @@
   auto shortages = policy::shortagesOf(fleet, machineTypes_);
   // planShard first cancels the drain of a machine.
   if (policy::drainToCancel(shortages, fleet, machineTypes_)) return std::nullopt;
-  if (auto request = policy::requestForShortages(shortages, fleet, machineTypes_, unavailable))
-    return request;
+  auto request = policy::requestForShortages(shortages, fleet, machineTypes_, unavailable);
   bool belowTarget = policy::isBelowTarget(fleet, target);
-  if (hasDrainingMachine && belowTarget) return std::nullopt;
-  auto request = policy::nextScaleOut(fleet, target, machineTypes_, unavailable);
-  if (!request && (belowTarget || !shortages.empty()))
+  if (hasDrainingMachine && belowTarget) return request;
+  auto forTargets = policy::nextScaleOut(fleet, target, machineTypes_, unavailable);
+  // One call for both, as calls to the cloud are limited.
+  bool sameOffering = request && forTargets && request->offering == forTargets->offering;
+  if (request) return sameOffering && forTargets->count > request->count ? forTargets : request;
+  if (!forTargets && (belowTarget || !shortages.empty()))
     logNothingToRequest(shard, fleet, shortages, unavailable);
-  return request;
+  return forTargets;
 }
 
 bool Autoscaler::LogInterval::due(Time now) {
--- a/src/autoscaler/shard_fleet.cpp
+++ b/src/autoscaler/shard_fleet.cpp
@@ -24,6 +24,7 @@
   group.needs.each = {reported.cores, reported.gpus, reported.ramGb};
   group.needs.types = reported.types;
   group.needs.spotAllowed = reported.spotAllowed;
+  group.gang = reported.gang;
   group.oneZone = reported.oneZone;
   group.waiting = reported.waiting;
   group.lacking = reported.lacking;
--- a/src/mesh/load_messages.h
+++ b/src/mesh/load_messages.h
@@ -65,7 +65,8 @@
   double ramGb = 0;
   std::vector<std::string> types;  // the types of the catalog that a task fits on and may use
   bool spotAllowed = false;
-  bool oneZone = false;       // all tasks have to start at the same time in the same zone
+  bool gang = false;          // all tasks have to start at the same time
+  bool oneZone = false;       // of a gang: all tasks have to be in the same zone
   std::uint32_t waiting = 0;  // tasks
   // Tasks of them that need another machine: none of the shard's, booting ones included, has capacity for
   // them, or will have in time.
@@ -75,7 +76,7 @@
   std::vector<ZoneTasks> zones;
   template <class A>
   void serialize(A& a) {
-    a(cores, gpus, ramGb, types, spotAllowed, oneZone, waiting, lacking, zones);
+    a(cores, gpus, ramGb, types, spotAllowed, gang, oneZone, waiting, lacking, zones);
   }
 };
 
--- a/src/policy/fleet.h
+++ b/src/policy/fleet.h
@@ -43,7 +43,8 @@
 // Waiting tasks of a shard with the same requirements, within their teams' quotas.
 struct TaskGroup {
   TaskRequirements needs;
-  bool oneZone = false;  // all tasks have to start at the same time in the same zone
+  bool gang = false;     // all tasks have to start at the same time
+  bool oneZone = false;  // of a gang: all tasks have to be in the same zone
   unsigned waiting = 0;  // tasks
   unsigned lacking = 0;  // tasks of them that need another machine
   // Lacking tasks that may be placed in each allowed zone; with `oneZone`, the tasks that lack capacity if
--- a/src/policy/waiting_tasks.cpp
+++ b/src/policy/waiting_tasks.cpp
@@ -90,6 +90,20 @@
   return cores;
 }
 
+unsigned divideRoundingUp(std::size_t number, std::size_t by) {
+  return static_cast<unsigned>((number + by - 1) / by);
+}
+
+// Machines for so many tasks of the shortage, but only one zone's share of all machines that the group lacks,
+// so that capacity spreads evenly.
+unsigned machinesToRequest(const TaskShortage& shortage, unsigned tasks, unsigned perMachine) {
+  const auto& group = *shortage.group;
+  auto count = std::min(divideRoundingUp(tasks, perMachine), kMaxPerRequest);
+  if (group.oneZone) return count;
+  auto share = divideRoundingUp(divideRoundingUp(group.lacking, perMachine), group.tasksByZone.size());
+  return std::min(count, share);
+}
+
 // The cheapest available offering for the shortage: of equally cheap ones, in the zone with fewest cores.
 std::optional<ScaleOutRequest> cheapestFor(const TaskShortage& shortage, bool spot, const ShardFleet& fleet,
                                            const Catalog& catalog, const InstanceOfferings& unavailable) {
@@ -113,11 +127,8 @@
       bool better = !best || cost < bestCost - kEqualCost ||
                     (cost < bestCost + kEqualCost && zoneCores[zone] < zoneCores[best->offering.zone]);
       if (!better) continue;
-      // Only the zone's share, so that capacity spreads evenly.
-      auto zones = shortage.group->oneZone ? 1 : shortage.tasksByZone.size();
-      auto count = std::clamp<std::size_t>(tasks / perMachine / zones, 1, kMaxPerRequest);
-      best = ScaleOutRequest{offering, static_cast<unsigned>(count),
-                             needs.each.cores * perMachine * static_cast<double>(count)};
+      auto count = machinesToRequest(shortage, tasks, perMachine);
+      best = ScaleOutRequest{offering, count, needs.each.cores * perMachine * count};
       bestCost = cost;
     }
   }
@@ -126,9 +137,18 @@
 
 std::optional<ScaleOutRequest> requestFor(const TaskShortage& shortage, const ShardFleet& fleet,
                                           const Catalog& catalog, const InstanceOfferings& unavailable) {
-  if (shortage.group->needs.spotAllowed)
-    if (auto request = cheapestFor(shortage, true, fleet, catalog, unavailable)) return request;
-  return cheapestFor(shortage, false, fleet, catalog, unavailable);
+  const auto& group = *shortage.group;
+  if (!group.needs.spotAllowed) return cheapestFor(shortage, false, fleet, catalog, unavailable);
+  if (auto request = cheapestFor(shortage, true, fleet, catalog, unavailable)) return request;
+  // Without spot machines tasks make way for each other: they get one on-demand machine at a time.
+  bool anyOnTheWay = shortage.tasks < group.lacking;
+  if (anyOnTheWay && !group.gang) return std::nullopt;
+  auto request = cheapestFor(shortage, false, fleet, catalog, unavailable);
+  if (request && !group.gang) {
+    request->cores /= request->count;
+    request->count = 1;
+  }
+  return request;
 }
 
 // The zones of a group that needs one, each by itself, those with the fewest lacking tasks first.
--- a/src/scheduler/capacity_demand.cpp
+++ b/src/scheduler/capacity_demand.cpp
@@ -19,9 +19,17 @@
 // The same for tasks that any machine suits: the targets of the autoscaler count on running tasks to end.
 constexpr Duration kMaxUnrestrictedWait{30'000};
 
-bool isBooting(const Machine& machine) {
+// Whether the machine takes no work yet but will soon: it boots, has booted and was not heard from yet, or a
+// command to it is unanswered.
+bool isComing(const Machine& machine, const Catalog& catalog, WallTime now) {
   const auto& record = machine.known.record;
-  return !machine.registered && record.address.empty() && record.phase == wire::MachinePhase::InUse;
+  bool leaves = machine.decommissioning || machine.draining || machine.returnNow || machine.reclaimAt ||
+                record.phase != wire::MachinePhase::InUse;
+  if (leaves || machine.open()) return false;
+  if (machine.registered) return !machine.cordoned;
+  const auto* type = findType(catalog, record.type);
+  double ageS = static_cast<double>(now.value - record.since.value) / 1000.0;
+  return type && policy::isExpectedToBoot(*type, ageS);
 }
 
 }  // namespace
@@ -55,18 +63,14 @@
 class CapacityDemand::FreeCapacity {
  public:
   explicit FreeCapacity(const CapacityDemand& demand) : demand_(demand) {
-    for (const auto& [_, machine] : demand.state_.machines()) {
-      if (!isBooting(machine)) continue;
-      const auto* type = findType(demand.catalog_, machine.known.record.type);
-      double ageS =
-          static_cast<double>(demand.runtime_.wall().value - machine.known.record.since.value) / 1000.0;
-      if (type && policy::isExpectedToBoot(*type, ageS)) booting_[machine.pool].push_back(&machine);
-    }
+    auto now = demand.runtime_.wall();
+    for (const auto& [_, machine] : demand.state_.machines())
+      if (isComing(machine, demand.catalog_, now)) coming_[machine.pool].push_back(&machine);
   }
 
-  [[nodiscard]] std::size_t booting(const MachinePool& pool) const {
-    auto machines = booting_.find(&pool);
-    return machines == booting_.end() ? 0 : machines->second.size();
+  [[nodiscard]] std::size_t machinesComing(const MachinePool& pool) const {
+    auto machines = coming_.find(&pool);
+    return machines == coming_.end() ? 0 : machines->second.size();
   }
 
   // Assigns up to `wanted` tasks of the group within the zone limits, and lowers these. Returns the number
@@ -92,8 +96,8 @@
  private:
   std::uint32_t assignInPool(const Group& group, const MachinePool& pool, std::uint32_t wanted) {
     std::uint32_t assigned = 0;
-    if (auto booting = booting_.find(&pool); booting != booting_.end())
-      for (const Machine* machine : booting->second) {
+    if (auto coming = coming_.find(&pool); coming != coming_.end())
+      for (const Machine* machine : coming->second) {
         if (assigned == wanted) return assigned;
         assigned += assignTo(*machine, group.each(), wanted - assigned);
       }
@@ -119,7 +123,7 @@
   }
 
   const CapacityDemand& demand_;
-  std::map<const MachinePool*, std::vector<const Machine*>> booting_;
+  std::map<const MachinePool*, std::vector<const Machine*>> coming_;
   std::unordered_map<const Machine*, Resources> free_;  // of the machines considered so far
   std::vector<std::pair<const Machine*, std::uint32_t>> lastAssigned_;
 };
@@ -241,12 +245,12 @@
 std::uint32_t CapacityDemand::tasksLacking(const Group& group, std::uint32_t unassigned,
                                            const FreeCapacity& capacity) const {
   bool anyMachine = false;  // that may have capacity later
-  bool anyBooting = false;
+  bool anyComing = false;
   for (const auto& pool : state_.pools()) {
     if (!suits(group, pool)) continue;
-    auto booting = capacity.booting(pool);
-    anyBooting |= booting > 0;
-    anyMachine |= group.key.spotAllowed ? pool.machines > 0 : pool.machines > booting;
+    auto coming = capacity.machinesComing(pool);
+    anyComing |= coming > 0;
+    anyMachine |= group.key.spotAllowed ? pool.machines > 0 : pool.machines > coming;
   }
   if (!anyMachine) return unassigned;
   bool unrestricted = group.key.spotAllowed && group.key.types.size() == catalog_.size() &&
@@ -255,7 +259,7 @@
   if (waited <= (unrestricted ? kMaxUnrestrictedWait : kMaxWait)) return 0;
   if (!group.key.spotAllowed || group.isGang()) return unassigned;
   // Arrays make way for each other: one machine at a time.
-  return anyBooting ? 0 : std::min(unassigned, 1U);
+  return anyComing ? 0 : std::min(unassigned, 1U);
 }
 
 mesh::WaitingTaskGroup CapacityDemand::report(const Group& group, FreeCapacity& capacity) const {
@@ -265,6 +269,7 @@
   reported.ramGb = group.key.ram;
   for (auto type : group.key.types) reported.types.push_back(catalog_[type].name);
   reported.spotAllowed = group.key.spotAllowed;
+  reported.gang = group.isGang();
   reported.waiting = group.tasks;
   if (group.startsInOneZone()) {
     reportOneZone(group, capacity, reported);
@@ -299,10 +304,20 @@
   capacity.assign(group, group.tasks, onlyBest);
 }
 
+// Tasks with fewer choices come first: what only they can use must not be counted as used by others.
+void CapacityDemand::sortByChoices(std::vector<Group>& groups) {
+  auto choices = [](const Group& group) {
+    return std::tuple(group.key.spotAllowed, group.key.types.size(), group.key.zones.size());
+  };
+  std::stable_sort(groups.begin(), groups.end(),
+                   [&](const Group& a, const Group& b) { return choices(a) < choices(b); });
+}
+
 std::vector<mesh::WaitingTaskGroup> CapacityDemand::groups(const std::vector<WaitingJob>& jobs) {
   if (catalog_.empty()) return {};
   auto groups = groupJobs(jobs);
   selectForReport(groups);
+  sortByChoices(groups);
   FreeCapacity capacity(*this);
   std::vector<mesh::WaitingTaskGroup> reported;
   reported.reserve(groups.size());
--- a/src/scheduler/capacity_demand.h
+++ b/src/scheduler/capacity_demand.h
@@ -69,6 +69,7 @@
   [[nodiscard]] ZoneLimits zoneLimits(const Job& job) const;
   [[nodiscard]] std::vector<Group> groupJobs(const std::vector<WaitingJob>& jobs) const;
   void selectForReport(std::vector<Group>& groups);
+  static void sortByChoices(std::vector<Group>& groups);
   [[nodiscard]] bool suits(const Group& group, const MachinePool& pool) const;
   [[nodiscard]] std::uint32_t tasksLacking(const Group& group, std::uint32_t unassigned,
                                            const FreeCapacity& capacity) const;
--- a/tests/unit/capacity_demand_test.cpp
+++ b/tests/unit/capacity_demand_test.cpp
@@ -103,8 +103,8 @@
   addJob("large", 1, {12, 0, 12});
   auto reported = groups();
   ASSERT_EQ(reported.size(), 2U);
-  EXPECT_EQ(reported[0].types, (Types{"small", "large", "gpu"}));
-  EXPECT_EQ(reported[1].types, (Types{"large", "gpu"}));
+  EXPECT_EQ(reported[0].types, (Types{"large", "gpu"}));
+  EXPECT_EQ(reported[1].types, (Types{"small", "large", "gpu"}));
   EXPECT_EQ(reported[0].lacking, 1U);
   EXPECT_EQ(reported[1].lacking, 1U);
 }
@@ -126,8 +126,8 @@
   ASSERT_EQ(reported.size(), 4U);
   EXPECT_EQ(reported[0].types, Types{"gpu"});
   EXPECT_EQ(reported[1].types, Types{"large"});
-  EXPECT_EQ(reported[2].types, (Types{"small", "gpu"}));
-  EXPECT_EQ(reported[3].types, Types{"large"});
+  EXPECT_EQ(reported[2].types, Types{"large"});
+  EXPECT_EQ(reported[3].types, (Types{"small", "gpu"}));
 }
 
 TEST_F(CapacityDemandTest, AFreeMachineOfAnotherTypeOrZoneIsNoCapacity) {
@@ -162,6 +162,39 @@
   EXPECT_EQ(totalLacking(), 1U);
 }
 
+// Guards against renting on-demand machines again and again: in the report the older work that may also use
+// spot machines took each of them.
+TEST_F(CapacityDemandTest, CapacityIsAssignedToTasksWithFewerChoicesFirst) {
+  addMachine("m-1", "small", "a");
+  addJob("spot", 8, {1, 0, 1}, [](JobSpec& spec) { spec.spotAllowed = true; });
+  addJob("service", 8, {1, 0, 1});
+  wait(11);
+  auto reported = groups();
+  ASSERT_EQ(reported.size(), 2U);
+  EXPECT_FALSE(reported[0].spotAllowed);
+  EXPECT_EQ(reported[0].lacking, 0U);
+}
+
+// Guards against renting for machines that have just booted: their address is recorded before they are heard
+// from.
+TEST_F(CapacityDemandTest, AMachineThatBootedAndWasNotHeardFromIsCapacity) {
+  auto& machine = addBootingMachine("m-1", "small", "a");
+  machine.known.record.address = "10.1.0.2:9000";
+  addJob("one", 1, {1, 0, 1});
+  wait(11);
+  EXPECT_EQ(totalLacking(), 0U);
+}
+
+TEST_F(CapacityDemandTest, ADrainingOrUnheardMachineIsNoCapacity) {
+  addMachine("m-1", "small", "a").draining = true;
+  auto& unheard = addMachine("m-2", "small", "a");
+  unheard.cordoned = true;
+  for (const auto* id : {"m-1", "m-2"}) state_.reindex(*state_.machine(MachineId{id}));
+  addJob("one", 1, {1, 0, 1});
+  wait(11);
+  EXPECT_EQ(totalLacking(), 1U);
+}
+
 TEST_F(CapacityDemandTest, ASpotMachineIsNoCapacityForWorkThatAvoidsSpot) {
   addMachine("m-1", "large", "a", true);
   addJob("one", 1, {1, 0, 1}, [](JobSpec& spec) { spec.spotAllowed = true; });
--- a/tests/unit/load_messages_test.cpp
+++ b/tests/unit/load_messages_test.cpp
@@ -20,7 +20,7 @@
   auto& details = load.details.emplace();
   details.spotAllowed.used = 7;
   details.machinesVersion = 412;
-  details.waiting.push_back({12, 1, 144, {"m"}, true, true, 5, 3, {{"a", 2}}});
+  details.waiting.push_back({12, 1, 144, {"m"}, true, true, true, 5, 3, {{"a", 2}}});
   return load;
 }
 
--- a/tests/unit/waiting_tasks_test.cpp
+++ b/tests/unit/waiting_tasks_test.cpp
@@ -103,6 +103,22 @@
   EXPECT_FALSE(onDemand->offering.spot);
 }
 
+// Guards against on-demand machines for a whole queue of arrays that only wait for each other.
+TEST(WaitingTasks, WithoutSpotMachinesArraysGetOneOnDemandMachineAtATime) {
+  auto group = groupOf({8, 0, 8}, 100, {"small"}, {kA});
+  group.needs.spotAllowed = true;
+  auto fleet = fleetWith({group});
+  InstanceOfferings noSpot{{"small", kA, true}};
+  auto request = requestFor(fleet, noSpot);
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->count, 1U);
+  EXPECT_EQ(request->cores, 8);
+  fleet.machines.push_back(unreported("small", kA));
+  EXPECT_FALSE(requestFor(fleet, noSpot));
+  fleet.waitingTasks[0].gang = true;  // its members can't run one after the other
+  EXPECT_TRUE(requestFor(fleet, noSpot));
+}
+
 // Guards against renting twice for one shortage: the owner's report is older than the request.
 TEST(WaitingTasks, MachinesThatTheReportDoesNotKnowAreSubtracted) {
   auto fleet = fleetWith({groupOf({8, 0, 8}, 5, {"small"})});
@@ -119,7 +135,7 @@
 
 TEST(WaitingTasks, AGangInOneZoneGetsItsMachinesWhereFewestAreMissing) {
   auto gang = groupOf({12, 0, 50}, 2, {"medium"});
-  gang.oneZone = true;
+  gang.gang = gang.oneZone = true;
   gang.tasksByZone = {{kA, 4}, {kB, 2}};
   auto fleet = fleetWith({gang});
   auto request = requestFor(fleet);
