Load reports: jobs that cause no demand are counted by reason; none is rented for failing jobs

Cause: waiting work that is left out of the reports (over quota, in backoff, fitting no type) showed nowhere, so that the log could not tell it from a fault of the autoscaler. A job that fails again and again, and finds the machines full, could get one more. Change: the owner's line once a minute has jobs_unsuitable, jobs_over_quota and jobs_in_backoff. Jobs that failed repeatedly lack capacity only where their shard has no suitable machine at all. The leader looks no machine up among the needed offerings if there are none.

--- a/src/policy/waiting_tasks.cpp
+++ b/src/policy/waiting_tasks.cpp
@@ -177,6 +177,7 @@
 }
 
 bool isNeededByWaitingTasks(const ShardFleet& fleet, const FleetMachine& machine) {
+  if (fleet.neededOfferings.empty()) return false;
   return fleet.neededOfferings.count({machine.type, machine.zone, machine.spot}) > 0;
 }
 
--- a/src/scheduler/capacity_demand.cpp
+++ b/src/scheduler/capacity_demand.cpp
@@ -42,7 +42,8 @@
   bool spotAllowed = false;
   std::vector<std::size_t> types;  // as indices into the catalog
   std::vector<Zone> zones;
-  JobId gang;  // empty if the tasks may start one by one
+  JobId gang;            // empty if the tasks may start one by one
+  bool suspect = false;  // the jobs have failed repeatedly and never succeeded
   friend auto operator<=>(const GroupKey&, const GroupKey&) = default;
 };
 
@@ -151,8 +152,8 @@
   return job.isGang() ? waiting : std::min(waiting, 1U);
 }
 
-std::uint32_t CapacityDemand::tasksToPlace(const Job& job, const Resources& withinQuota) const {
-  auto tasks = tasksNotInBackoff(job);
+std::uint32_t CapacityDemand::tasksWithinQuota(const Job& job, std::uint32_t tasks,
+                                               const Resources& withinQuota) const {
   // The quota of such a job is enforced by the shard of its team (invariants 17 and 18).
   if (job.delegation || job.maxConcurrent) return tasks;
   Resources each{job.spec->each.cores, job.spec->each.gpus, 0};
@@ -160,21 +161,41 @@
   return job.isGang() && allowed < tasks ? 0 : allowed;
 }
 
-std::vector<CapacityDemand::WaitingJob> CapacityDemand::waitingJobs() const {
+// Nothing if no task of the job is to be placed now.
+std::optional<CapacityDemand::WaitingJob> CapacityDemand::describeWaiting(const Job& job,
+                                                                          const Resources& withinQuota) {
+  auto types = suitableTypes(*job.spec);
+  if (types.empty() && !catalog_.empty()) {
+    ++excludedJobs_.unsuitable;
+    return std::nullopt;
+  }
+  auto notInBackoff = tasksNotInBackoff(job);
+  if (notInBackoff == 0) {
+    ++excludedJobs_.inBackoff;
+    return std::nullopt;
+  }
+  auto tasks = tasksWithinQuota(job, notInBackoff, withinQuota);
+  if (tasks == 0) {
+    ++excludedJobs_.overQuota;
+    return std::nullopt;
+  }
+  return WaitingJob{&job, tasks, rules_.avoidsSpot(job), std::move(types)};
+}
+
+std::vector<CapacityDemand::WaitingJob> CapacityDemand::waitingJobs() {
   std::vector<WaitingJob> waitingJobs;
+  excludedJobs_ = {};
   for (const auto& [teamId, jobs] : state_.teams()) {
     const Team* team = settings_.team(teamId);
     if (!team) continue;
     auto withinQuota = Resources{team->coreQuota, team->gpuQuota, 0} - state_.teamUsage(teamId);
     for (const auto& [_, job] : jobs) {
       if (!job->open() || job->waiting.empty()) continue;
-      auto types = suitableTypes(*job->spec);
-      if (types.empty() && !catalog_.empty()) continue;
       withinQuota.ram = 0;  // not limited
-      auto tasks = tasksToPlace(*job, withinQuota);
-      if (tasks == 0) continue;
-      if (!job->delegation && !job->maxConcurrent) withinQuota -= job->spec->each * tasks;
-      waitingJobs.push_back({job, tasks, rules_.avoidsSpot(*job), std::move(types)});
+      auto waiting = describeWaiting(*job, withinQuota);
+      if (!waiting) continue;
+      if (!job->delegation && !job->maxConcurrent) withinQuota -= job->spec->each * waiting->tasks;
+      waitingJobs.push_back(std::move(*waiting));
     }
   }
   return waitingJobs;
@@ -204,6 +225,7 @@
                  {}};
     for (const auto& [zone, _] : limits) key.zones.push_back(zone);
     if (job.isGang()) key.gang = job.id;
+    key.suspect = failures_.isSuspect(job.id);
     auto& group = groups.try_emplace(key, Group{key, &job, 0, {}, job.since, {}}).first->second;
     if (std::tie(job.submitted, job.id) < std::tie(group.firstJob->submitted, group.firstJob->id))
       group.firstJob = &job;
@@ -241,7 +263,8 @@
 }
 
 // How many of the tasks without free capacity need another machine. The others wait for tasks to end, which
-// they can't on machines that are only booting, and not for ever.
+// they can't on machines that are only booting, and not for ever. No machine is added for jobs that fail
+// repeatedly.
 std::uint32_t CapacityDemand::tasksLacking(const Group& group, std::uint32_t unassigned,
                                            const FreeCapacity& capacity) const {
   bool anyMachine = false;  // that may have capacity later
@@ -253,6 +276,7 @@
     anyMachine |= group.key.spotAllowed ? pool.machines > 0 : pool.machines > coming;
   }
   if (!anyMachine) return unassigned;
+  if (group.key.suspect) return 0;
   bool unrestricted = group.key.spotAllowed && group.key.types.size() == catalog_.size() &&
                       group.limits.size() == settings_.zones.size();
   auto waited = runtime_.now() - std::max(group.waitingSince, group.lastPlacedAt);
--- a/src/scheduler/capacity_demand.h
+++ b/src/scheduler/capacity_demand.h
@@ -32,6 +32,12 @@
     // Whether a machine with free capacity may take tasks of the job.
     std::function<bool(const Job&, const Machine&)> allowsMachine;
   };
+  // Numbers of jobs whose waiting tasks are not counted, by reason.
+  struct ExcludedJobs {
+    std::size_t unsuitable = 0;  // no machine type of the catalog suits them
+    std::size_t overQuota = 0;
+    std::size_t inBackoff = 0;  // after repeated failures, or at their limit of tasks in this shard
+  };
   // The waiting tasks of one job that are to be placed now.
   struct WaitingJob {
     const Job* job = nullptr;
@@ -51,7 +57,9 @@
         rules_(std::move(rules)) {}
 
   // The jobs with tasks to be placed, each team's in the order of submission.
-  [[nodiscard]] std::vector<WaitingJob> waitingJobs() const;
+  [[nodiscard]] std::vector<WaitingJob> waitingJobs();
+  // The jobs that the last call of waitingJobs() left out.
+  [[nodiscard]] const ExcludedJobs& excludedJobs() const { return excludedJobs_; }
   // Their tasks in groups. If there are more groups than a report holds, successive calls return them in
   // turn.
   [[nodiscard]] std::vector<mesh::WaitingTaskGroup> groups(const std::vector<WaitingJob>& jobs);
@@ -64,7 +72,9 @@
   struct Group;
   class FreeCapacity;
 
-  [[nodiscard]] std::uint32_t tasksToPlace(const Job& job, const Resources& withinQuota) const;
+  std::optional<WaitingJob> describeWaiting(const Job& job, const Resources& withinQuota);
+  [[nodiscard]] std::uint32_t tasksWithinQuota(const Job& job, std::uint32_t tasks,
+                                               const Resources& withinQuota) const;
   [[nodiscard]] std::uint32_t tasksNotInBackoff(const Job& job) const;
   [[nodiscard]] ZoneLimits zoneLimits(const Job& job) const;
   [[nodiscard]] std::vector<Group> groupJobs(const std::vector<WaitingJob>& jobs) const;
@@ -82,6 +92,7 @@
   const ShardState& state_;
   const FailureAttribution& failures_;
   Rules rules_;
+  ExcludedJobs excludedJobs_;
   std::size_t nextGroup_ = 0;  // the first of the groups that take turns in the next report
 };
 
--- a/src/scheduler/load_reporter.h
+++ b/src/scheduler/load_reporter.h
@@ -37,6 +37,8 @@
   void recordCompletedWork(Time at, double cores, bool spotAllowed);
   // Sends a report if the report interval has elapsed since the last one.
   void reportIfDue(Time now);
+  // The jobs with waiting tasks that the last report left out.
+  [[nodiscard]] const CapacityDemand::ExcludedJobs& excludedJobs() const { return demand_.excludedJobs(); }
 
  private:
   struct RecentWork {
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -40,6 +40,10 @@
           {[this](const Machine& machine) { return movableReplicas(machine).has_value(); }, callbacks_.load}),
       machineRecordWriter_(settings, runtime, store, view, takeover, state_, callbacks_.dropOwnership) {}
 
+std::string ShardScheduler::summarizeLastMinute() {
+  return summarizeShard(shard(), state_, loadReporter_.excludedJobs(), latencies_);
+}
+
 void ShardScheduler::start() {
   recovery_.start([this](const ListResult& placementPages) { finishLoading(placementPages); });
 }
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -92,7 +92,7 @@
   // The version of the shard's latest cancellation.
   Version lastCancellationVersion() const { return lastCancellationVersion_; }
   // Log line for operators on the current state and the activity since the last call.
-  std::string summarizeLastMinute() { return summarizeShard(shard(), state_, latencies_); }
+  std::string summarizeLastMinute();
   const ShardCounters& counts() const { return latencies_.counts; }
 
  private:
--- a/src/scheduler/shard_summary.cpp
+++ b/src/scheduler/shard_summary.cpp
@@ -32,7 +32,8 @@
 
 }  // namespace
 
-std::string summarizeShard(ShardId shard, const ShardState& state, StartLatencies& latencies) {
+std::string summarizeShard(ShardId shard, const ShardState& state,
+                           const CapacityDemand::ExcludedJobs& excludedJobs, StartLatencies& latencies) {
   std::size_t openJobs = 0;
   std::size_t waitingTasks = 0;
   for (const auto& [_, job] : state.jobs()) {
@@ -43,12 +44,13 @@
   for (const auto& [_, machine] : state.machines())
     if (!machine.open()) closed.add(machine);
   auto stateFields = fmt::format(
-      "shard summary shard={} open_jobs={} tasks_waiting={} machines={} open={} booting={} silent={} "
+      "shard summary shard={} open_jobs={} tasks_waiting={} jobs_unsuitable={} jobs_over_quota={} "
+      "jobs_in_backoff={} machines={} open={} booting={} silent={} "
       "suspected={} draining={} "
       "decommissioning={} pages={}",
-      shard.value, openJobs, waitingTasks, state.machines().size(), state.openMachines().size(),
-      closed.booting, closed.silent, closed.suspected, closed.draining, closed.decommissioning,
-      state.pages().count());
+      shard.value, openJobs, waitingTasks, excludedJobs.unsuitable, excludedJobs.overQuota,
+      excludedJobs.inBackoff, state.machines().size(), state.openMachines().size(), closed.booting,
+      closed.silent, closed.suspected, closed.draining, closed.decommissioning, state.pages().count());
   auto activity = latencies.takeRoundCounters();
   return fmt::format("{} starts={} rounds={} widest_round={} machines_examined={} preempted={} {} {} {}",
                      stateFields, activity.starts, activity.rounds, activity.maxPlacementsPerRound,
--- a/tests/unit/capacity_demand_test.cpp
+++ b/tests/unit/capacity_demand_test.cpp
@@ -238,12 +238,24 @@
 TEST_F(CapacityDemandTest, AGangBeyondItsTeamsQuotaIsNotCounted) {
   addJob("gang", 21, {10, 0, 1}, [](JobSpec& spec) { spec.kind = JobKind::Gang; });
   EXPECT_TRUE(groups().empty());
+  EXPECT_EQ(demand_.excludedJobs().overQuota, 1U);
 }
 
 TEST_F(CapacityDemandTest, TasksThatFitNoTypeAreNotCounted) {
   addJob("memory", 1, {1, 0, 200});
   addJob("zoned", 1, {1, 1, 1}, [](JobSpec& spec) { spec.zone = Zone{"a"}; });  // GPUs are in zone b only
   EXPECT_TRUE(demand_.waitingJobs().empty());
+  EXPECT_EQ(demand_.excludedJobs().unsuitable, 2U);
+}
+
+TEST_F(CapacityDemandTest, AJobThatFailsRepeatedlyGetsNoFurtherMachine) {
+  auto& machine = addMachine("m-1", "small", "a");
+  placeOn(machine, addJob("holder", 1, {8, 0, 1}));
+  auto& job = addJob("one", 1, {1, 0, 1});
+  for (const auto* failedOn : {"m-1", "m-2", "m-3"})
+    failures_.recordFailure({job.id, 0}, MachineId{failedOn}, Duration{}, 10, runtime_.now());
+  wait(60);
+  EXPECT_EQ(totalLacking(), 0U);
 }
 
 TEST_F(CapacityDemandTest, AJobThatNeverSucceededCountsOneTaskAndNoneDuringItsBackoff) {
@@ -254,6 +266,7 @@
   EXPECT_EQ(groups()[0].waiting, 1U);
   job.notBefore = runtime_.now() + seconds(10);
   EXPECT_TRUE(groups().empty());
+  EXPECT_EQ(demand_.excludedJobs().inBackoff, 1U);
 }
 
 TEST_F(CapacityDemandTest, SpreadTasksLackCapacityInOtherZones) {
