--- a/tests/unit/load_reporter_test.cpp
+++ b/tests/unit/load_reporter_test.cpp
@@ -153,6 +153,15 @@
   EXPECT_EQ(described, (std::set<std::pair<double, double>>{{1, 12}, {12, 12}}));
 }
 
+// A report is sent every second by controllers with a tenth of a core: its size must not grow with the jobs.
+TEST_F(LoadReporterTest, TheSizeOfAReportIsBoundedWhateverTheNumberOfJobs) {
+  constexpr std::size_t kMaxBytes = 64 * 1024;
+  for (int number = 0; number < 3000; ++number)
+    state_.addJob(JobId{"job-" + std::to_string(number)},
+                  jobEntry("job-" + std::to_string(number), 5, 0.001 * (number + 1)));
+  EXPECT_LT(mesh::encode({0, 1, report()}).size(), kMaxBytes);
+}
+
 TEST_F(LoadReporterTest, WorkAsAWholeIsDescribedByItsMeanMemory) {
   state_.addJob(JobId{"a"}, jobEntry("a", 3, 2));
   const auto& details = report().details;
