--- a/tests/unit/load_reporter_test.cpp
+++ b/tests/unit/load_reporter_test.cpp
@@ -155,7 +155,7 @@
 
 // A report is sent every second by controllers with a tenth of a core: its size must not grow with the jobs.
 TEST_F(LoadReporterTest, TheSizeOfAReportIsBoundedWhateverTheNumberOfJobs) {
-  constexpr std::size_t kMaxBytes = 64 * 1024;
+  constexpr std::size_t kMaxBytes = 65'536;
   for (int number = 0; number < 3000; ++number)
     state_.addJob(JobId{"job-" + std::to_string(number)},
                   jobEntry("job-" + std::to_string(number), 5, 0.001 * (number + 1)));
