Scenarios: copies of requests that were carried out and answered

Change: `repeat-answered A B PATH SHARE FOR FROM TO` delivers such copies to any party, with the time at which the request was sent, to B as it then is; `fail-tasks N` ends the running tasks of a job with `error`; `expect repeated-requests` counts the copies.

--- a/tests/world/net.cpp
+++ b/tests/world/net.cpp
@@ -51,13 +51,39 @@
     if (clock_.now() >= c.until || r.target != c.path || !matches(c.from, from)) continue;
     auto requestDelay =
         static_cast<Ms>(clock_.uniform(static_cast<double>(c.minDelay), static_cast<double>(c.maxDelay)));
-    clock_.after(requestDelay,
-                 [this, from, r, to = c.to[clock_.rng() % c.to.size()]] { deliverCopy(from, to, r); });
+    clock_.after(requestDelay, [this, from, r, to = c.to[clock_.rng() % c.to.size()]] {
+      deliverCopy(from, to, r, clock_.now());
+    });
   }
 }
 
-void Network::deliverCopy(const std::string& from, const std::string& to, const HttpRequest& r) {
-  sentAt_ = clock_.now();
+void Network::repeatAnswered(const std::string& a, const std::string& b, const std::string& path,
+                             double share, Ms until, Ms minDelay, Ms maxDelay) {
+  repetitions_.push_back({a, b, path, share, until, minDelay, maxDelay});
+}
+
+std::optional<Network::SentRequest> Network::copyToRepeat(const std::string& from, const std::string& to,
+                                                          const HttpRequest& r) const {
+  if (repetitions_.empty()) return std::nullopt;
+  return SentRequest{from, to, r, clock_.now()};
+}
+
+void Network::repeatLater(const SentRequest& sent) {
+  for (const auto& c : repetitions_) {
+    bool concerned = clock_.now() < c.until && matches(c.from, sent.from) && matches(c.to, sent.to) &&
+                     sent.request.target.starts_with(c.path);
+    if (!concerned || !clock_.chance(c.share)) continue;
+    auto delay =
+        static_cast<Ms>(clock_.uniform(static_cast<double>(c.minDelay), static_cast<double>(c.maxDelay)));
+    clock_.after(delay, [this, sent] {
+      ++repeated_;
+      deliverCopy(sent.from, sent.to, sent.request, sent.sentAt);
+    });
+  }
+}
+
+void Network::deliverCopy(const std::string& from, const std::string& to, const HttpRequest& r, Ms sentAt) {
+  sentAt_ = sentAt;
   trace_.request(clock_.now(), from, to, r);
   if (auto h = handlers_.find(to); h != handlers_.end()) h->second(from, r, [](HttpResponse) {});
 }
@@ -105,23 +131,27 @@
   if (!t) return;  // the connection cannot be opened
   *sent = true;
   auto requestDelay = delayOf(from, to, r.target, false);
+  auto copy = copyToRepeat(from, to, r);
   clock_.at(*t + requestDelay, [this, from, to, r = std::move(r), settle, dropResponse,
-                                at = clock_.now()]() mutable {
+                                copy = std::move(copy), at = clock_.now()]() mutable {
     auto h = handlers_.find(to);
     if (h == handlers_.end()) return settle({Outcome::NotSent, {}});
     auto handler = h->second;
     auto path = r.target;
     sentAt_ = at;
-    handler(from, std::move(r), [this, from, to, settle, dropResponse, path](HttpResponse response) {
-      trace_.response(clock_.now(), to, from, response);
-      auto back = arrival(to, from);
-      if (dropResponse || !back) return;
-      auto responseDelay = delayOf(from, to, path, true);
-      clock_.at(*back + responseDelay, [this, settle, response = std::move(response), sentAt = clock_.now()] {
-        sentAt_ = sentAt;
-        settle({Outcome::Answered, response});
-      });
-    });
+    handler(from, std::move(r),
+            [this, from, to, settle, dropResponse, path, copy = std::move(copy)](HttpResponse response) {
+              trace_.response(clock_.now(), to, from, response);
+              if (copy && response.status == 200) repeatLater(*copy);
+              auto back = arrival(to, from);
+              if (dropResponse || !back) return;
+              auto responseDelay = delayOf(from, to, path, true);
+              clock_.at(*back + responseDelay,
+                        [this, settle, response = std::move(response), sentAt = clock_.now()] {
+                          sentAt_ = sentAt;
+                          settle({Outcome::Answered, response});
+                        });
+            });
   });
 }
 
--- a/tests/world/net.h
+++ b/tests/world/net.h
@@ -52,12 +52,18 @@
   // delay between `minDelay` and `maxDelay`.
   void duplicateRequests(const std::string& from, const std::string& path, std::vector<std::string> to,
                          Ms until, Ms minDelay, Ms maxDelay);
+  // Until then that share of the requests from a to b whose path starts with `path` is delivered to b once
+  // more, between `minDelay` and `maxDelay` after it was carried out and answered with 200.
+  void repeatAnswered(const std::string& a, const std::string& b, const std::string& path, double share,
+                      Ms until, Ms minDelay, Ms maxDelay);
+  // How many such copies were delivered.
+  std::size_t repeated() const { return repeated_; }
   // Calls `f` with every request that any process sends.
   void observeRequests(std::function<void(const std::string& from, const HttpRequest&)> f) {
     requestObserver_ = std::move(f);
   }
-  // Delivers a copy of an observed request; the response is discarded.
-  void deliverCopy(const std::string& from, const std::string& to, const HttpRequest& r);
+  // Delivers a copy of a request that was sent at `sentAt`; the response is discarded.
+  void deliverCopy(const std::string& from, const std::string& to, const HttpRequest& r, Ms sentAt);
   // The response to the next request from a to b is lost, although the request is handled.
   void dropNextResponse(const std::string& from, const std::string& to) {
     droppedResponses_.insert({from, to});
@@ -82,7 +88,21 @@
     std::vector<std::string> to;
     Ms until, minDelay, maxDelay;
   };
+  struct Repetition {
+    std::string from, to, path;
+    double share;
+    Ms until, minDelay, maxDelay;
+  };
+  struct SentRequest {
+    std::string from, to;
+    HttpRequest request;
+    Ms sentAt;
+  };
   void duplicate(const std::string& from, const HttpRequest& r);
+  // The request, if it may have to be repeated once it is answered.
+  std::optional<SentRequest> copyToRepeat(const std::string& from, const std::string& to,
+                                          const HttpRequest& r) const;
+  void repeatLater(const SentRequest& sent);
   const Partition* partitionBetween(const std::string& x, const std::string& y, bool newConnection) const;
   Ms delayOf(const std::string& from, const std::string& to, const std::string& path, bool answers);
   // The arrival time of a message sent now; nullopt if it is lost.
@@ -93,6 +113,8 @@
   std::map<std::string, Handler> handlers_;
   std::vector<Partition> partitions_;
   std::vector<Duplication> duplications_;
+  std::vector<Repetition> repetitions_;
+  std::size_t repeated_ = 0;
   std::function<void(const std::string&, const HttpRequest&)> requestObserver_;
   std::vector<Delay> delays_;
   Ms sentAt_ = 0;
--- a/tests/world/report_replay.cpp
+++ b/tests/world/report_replay.cpp
@@ -30,7 +30,7 @@
     for (const auto& node : settings.controllers) {
       auto to = "node" + std::to_string(&node - settings.controllers.data());
       clock.after(static_cast<Ms>(clock.uniform(0, kReplayWindowMs)),
-                  [this, machine, to, report] { net.deliverCopy(machine, to, report); });
+                  [this, machine, to, report] { net.deliverCopy(machine, to, report, clock.now()); });
       ++replayedReports_;
     }
   }
--- a/tests/world/scenario_expectations.cpp
+++ b/tests/world/scenario_expectations.cpp
@@ -143,6 +143,7 @@
       {"largest-value", [](const World& w) { return static_cast<double>(w.stateService.largestValue()); }},
       {"responses-lost",
        [](const World& w) { return static_cast<double>(w.stateService.responsesDropped()); }},
+      {"repeated-requests", [](const World& w) { return static_cast<double>(w.net.repeated()); }},
       {"replayed-reports", [](const World& w) { return static_cast<double>(w.replayedReports()); }},
       {"fenced-commands", [](const World& w) -> double { return w.checker.fencedCommands(); }},
       {"quarantined", [](const World& w) { return sumOfCounts(w, &cherryloft::ShardCounters::quarantined); }},
--- a/tests/world/scenario_fault_actions.cpp
+++ b/tests/world/scenario_fault_actions.cpp
@@ -102,6 +102,14 @@
                                       context.until(4), context.line.duration(5), context.line.duration(6));
 }
 
+// repeat-answered FROM TO PATH SHARE FOR LEAST MOST
+void repeatAnswered(Context context) {
+  const auto& line = context.line;
+  context.world.net.repeatAnswered(endpointNamed(context.world, line.word(3)),
+                                   endpointNamed(context.world, line.word(4)), line.word(5), line.number(6),
+                                   context.until(7), line.duration(8), line.duration(9));
+}
+
 // drop-response PATH MACHINE
 void dropResponse(Context context) {
   context.world.net.dropNextResponse(context.line.word(3),
@@ -131,6 +139,7 @@
       {"refuse-connections", {refuseConnections, 5}},
       {"delay", {delay, 6, 8}},
       {"duplicate-reports", {duplicateReports, 4, 6}},
+      {"repeat-answered", {repeatAnswered, 7, 9}},
       {"drop-response", {dropResponse}},
       {"outage", {outage, 4}},
       {"refuse", {[](Context c) { c.world.stateService.refuseRequests(c.line.word(3), c.until(4)); }, 4}},
--- a/tests/world/scenario_machine_actions.cpp
+++ b/tests/world/scenario_machine_actions.cpp
@@ -65,13 +65,20 @@
   if (auto* worker = context.world.cloud.worker(machineArgument(context))) worker->failAllTasks();
 }
 
+// fail-tasks JOB: every task of the job that runs now fails
+void failTasksOfJob(Context context) {
+  auto job = context.line.jobId(3);
+  for (const auto& machine : context.world.checker.machinesRunning(job))
+    if (auto* worker = context.world.cloud.worker(machine)) worker->failTasksOf(job);
+}
+
 }  // namespace
 
 const ActionTable& machineActions() {
-  static const ActionTable table{{"reboot", {reboot, 4}},    {"reclaim", {reclaim}},
-                                 {"faulty", {failAllTasks}}, {"die", {die}},
-                                 {"die-many", {dieMany}},    {"die-scattered", {dieScattered}},
-                                 {"hang", {hang, 4}},        {"hang-many", {hangMany, 5}}};
+  static const ActionTable table{
+      {"reboot", {reboot, 4}},           {"reclaim", {reclaim}}, {"faulty", {failAllTasks}},
+      {"fail-tasks", {failTasksOfJob}},  {"die", {die}},         {"die-many", {dieMany}},
+      {"die-scattered", {dieScattered}}, {"hang", {hang, 4}},    {"hang-many", {hangMany, 5}}};
   return table;
 }
 
--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -220,6 +220,13 @@
   reportSoon();
 }
 
+void Worker::failTasksOf(const std::string& job) {
+  std::vector<TaskKey> running;
+  for (const auto& [k, held] : tasks_)
+    if (k.first == job && held.state == "running") running.push_back(k);
+  for (const auto& k : running) end(k, "error");
+}
+
 // A running task with checkpoints saves its progress if the grace period allows; a second kill without a
 // grace period aborts the save.
 void Worker::kill(const TaskKey& k, double gracePeriodS) {
