--- a/src/scheduler/liveness.cpp
+++ b/src/scheduler/liveness.cpp
@@ -17,20 +17,8 @@
 // the margin.
 constexpr double kUnacknowledgedHeartbeats = 2.5;
 constexpr Duration kUnacknowledgedMargin{4'000};
-// If more than this fraction of the machines is overdue or suspected, the cause is probably not the machines
-// themselves.
-constexpr double kMassSuspicionFraction = 0.26;
-constexpr double kMassSuspicionFractionOfZone = 0.5;
-// Up to this many machines are never treated as mass suspicion, even if they are a large part of a small
-// shard.
-constexpr double kMinMassSuspicion = 3;
-
 }  // namespace
 
-bool ShardScheduler::SuspectCount::exceedsFraction(double fraction) const {
-  return static_cast<double>(overdue) > std::max(kMinMassSuspicion, fraction * static_cast<double>(machines));
-}
-
 Duration ShardScheduler::timeSinceHeartbeat(const Machine& machine) const {
   return runtime_.now() - std::max(machine.lastHeartbeatAt, lastStallEnd_);
 }
@@ -88,12 +76,11 @@
 
 void ShardScheduler::returnSuspectedMachines(Time now) {
   auto survey = countSuspects(now);
-  recordMassSuspicion(survey, now);
-  if (isRecent(massSuspicionAt_, now)) return;
+  massSuspicion_.record(survey, now);
+  auto staysInEffect = heartbeatDueAfter() + kControllerFailoverTime;
+  if (massSuspicion_.inShard(now, staysInEffect)) return;
   for (Machine* machine : survey.suspected) {
-    auto zone = massSuspicionInZoneAt_.find(machine->zone());
-    bool massSuspicionInZone = zone != massSuspicionInZoneAt_.end() && isRecent(zone->second, now);
-    if (machine->returnNow || massSuspicionInZone) continue;
+    if (machine->returnNow || massSuspicion_.inZone(machine->zone(), now, staysInEffect)) continue;
     log_->info("returning suspected machine: machine={} reason={}", machine->id.value,
                machine->tokenUnacknowledgedSince ? "token_unacknowledged" : "no_heartbeat");
     machine->returnNow = true;
@@ -105,7 +92,7 @@
 // Counts all overdue machines, not only the suspected ones: machines behind a network partition become
 // suspected one after another, over a whole report interval, and the first must not be returned before the
 // others are noticed.
-ShardScheduler::SuspicionCounts ShardScheduler::countSuspects(Time now) {
+SuspicionCounts ShardScheduler::countSuspects(Time now) {
   SuspicionCounts survey;
   for (auto& [_, machine] : state_.machines()) {
     bool isSuspected = suspected(machine, now);
@@ -122,15 +109,4 @@
   return survey;
 }
 
-void ShardScheduler::recordMassSuspicion(const SuspicionCounts& survey, Time now) {
-  if (survey.shard.exceedsFraction(kMassSuspicionFraction)) massSuspicionAt_ = now;
-  for (const auto& [zone, count] : survey.zones)
-    if (count.exceedsFraction(kMassSuspicionFractionOfZone)) massSuspicionInZoneAt_[zone] = now;
-}
-
-// Mass suspicion stays in effect for a while, as machines also recover one after another.
-bool ShardScheduler::isRecent(std::optional<Time> time, Time now) const {
-  return time && now - *time < heartbeatDueAfter() + kControllerFailoverTime;
-}
-
 }  // namespace cherryloft
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -17,6 +17,7 @@
 #include "scheduler/job_migration.h"
 #include "scheduler/load_reporter.h"
 #include "scheduler/machine_record_writer.h"
+#include "scheduler/mass_suspicion.h"
 #include "scheduler/pending_jobs.h"
 #include "scheduler/placement_turn.h"
 #include "scheduler/shard_recovery.h"
@@ -198,18 +199,6 @@
   // Failure detection (liveness.cpp).
   // Consecutive unanswered probes after which a silent machine is suspected.
   static constexpr unsigned kUnansweredProbesToSuspect = 2;
-  // Among the machines that were ever up: how many are overdue or suspected.
-  struct SuspectCount {
-    std::size_t overdue = 0;
-    std::size_t machines = 0;
-    // So many are affected that the machines themselves are probably not at fault.
-    [[nodiscard]] bool exceedsFraction(double fraction) const;
-  };
-  struct SuspicionCounts {
-    SuspectCount shard;
-    std::map<Zone, SuspectCount> zones;
-    std::vector<Machine*> suspected;
-  };
   // Time after which a heartbeat is due: the report interval plus a quarter of tolerance.
   Duration heartbeatDueAfter() const;
   // Time since the last heartbeat; excludes the time before this process resumed from a stall.
@@ -224,8 +213,6 @@
   // a zone is overdue, the machines are probably not at fault, and only the expiry of their leases counts.
   void returnSuspectedMachines(Time now);
   SuspicionCounts countSuspects(Time now);
-  void recordMassSuspicion(const SuspicionCounts& survey, Time now);
-  bool isRecent(std::optional<Time> time, Time now) const;
 
   // Periodic maintenance.
   void tick();
@@ -377,9 +364,7 @@
 
   std::size_t probesInFlight_ = 0;          // direct requests that carry no commands
   std::size_t directCommandsInFlight_ = 0;  // probes included
-  // When so many machines of the shard or of a zone were last overdue that they were probably not at fault.
-  std::optional<Time> massSuspicionAt_;
-  std::map<Zone, Time> massSuspicionInZoneAt_;
+  MassSuspicion massSuspicion_;
   Time lastTickAt_{};
   Time lastStallEnd_{};  // end of this process's last stall
 
