Log: under which token commands go, when a token rises, attempts that reappear

Change: CommandAudit logs each start, stop and forget with its token, incarnation, route and the rest of the controller's lease, and each rise of a token with its reason (debug); an attempt that a worker reports although it was known to be gone (error); and once a minute how many of each there were. `shard loaded` tells the epoch and the revisions read.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -319,6 +319,8 @@
     sum.starts += counts.starts;
     sum.machinesExamined += counts.machinesExamined;
     sum.quarantined += counts.quarantined;
+    sum.tokenRaises += counts.tokenRaises;
+    sum.attemptsReappeared += counts.attemptsReappeared;
   });
   return sum;
 }
@@ -327,8 +329,9 @@
 void Controller::logMinuteSummary() {
   runtime_.after(kSummaryInterval, [this] { logMinuteSummary(); });
   auto tally = store_.takeCounters();
-  schedulers_.forEach(
-      [this](ShardScheduler& scheduler) { log_->info("last minute: {}", scheduler.summarizeLastMinute()); });
+  schedulers_.forEach([this](ShardScheduler& scheduler) {
+    for (const auto& line : scheduler.summarizeLastMinute()) log_->info("last minute: {}", line);
+  });
   log_->info("last minute: state service refused={} timed_out={}{}{}", tally.throttled, tally.expired,
              countsByName("requests", tally.requestsByOperation),
              countsByName("changes", tally.writesByPrefix));
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -59,15 +59,6 @@
 
 // --- which commands are due ---
 
-void ShardScheduler::mergeCommands(std::vector<Command>& list, std::vector<Command> more) {
-  std::set<TaskAttempt> listed;
-  for (const auto& command : list) listed.insert({command.task, command.attempt});
-  for (auto& command : more) {
-    bool alreadyListed = listed.count({command.task, command.attempt}) > 0;
-    if (!alreadyListed) list.push_back(std::move(command));
-  }
-}
-
 Duration ShardScheduler::maxCheckpointTime(const Job& job) const {
   double waitForPeers = job.isGang() ? settings_.gangPeerTimeoutS : 0;
   return seconds(2 * job.spec->checkpointSeconds + kCheckpointSlackSeconds + waitForPeers);
@@ -107,6 +98,7 @@
     }
   }
   addCommandsForUnknownTasks(machine, commands);
+  commandAudit_.commandsSent(machine, CommandRoute::HeartbeatAnswer, commands, leaseLeft());
   return commands;
 }
 
@@ -129,6 +121,8 @@
   return commands;
 }
 
+// For tasks in the last heartbeat that have no placement on the machine: stops them, and lets the worker
+// forget them once they have ended.
 void ShardScheduler::addCommandsForUnknownTasks(Machine& machine, std::vector<Command>& commands) {
   // Workers may forget exited tasks once no duplicate of their start command can arrive (invariant 3).
   bool mayForget = machine.noCommandInDoubt() && !machine.commandInFlight;
@@ -168,6 +162,7 @@
   }
   auto worker = addressOf(machine);
   if (!worker) return;
+  commandAudit_.commandsSent(machine, CommandRoute::Direct, commands, leaseLeft());
   machine.commandInFlight = true;
   machine.followUpCommandDue = false;
   ++directCommandsInFlight_;
@@ -242,6 +237,7 @@
   // (invariant 3).
   log_->debug("command unanswered: machine={} in_a_row={}", machine.id.value, machine.unansweredProbes);
   machine.fence.recordUnansweredCommand(sent.token);
+  commandAudit_.tokenRaised(machine, TokenRaiseReason::CommandUnanswered);
   machine.directCommandDue = true;
   // If only its heartbeats get through, commands are sent in their answers: each lost direct command would
   // exclude the machine from new work until it has acknowledged the advanced token.
--- a/src/scheduler/heartbeats.cpp
+++ b/src/scheduler/heartbeats.cpp
@@ -46,6 +46,25 @@
   return placement.startSent && !placement.desired && !startMayArrive(machine, placement, heartbeat, source);
 }
 
+// Appends those commands whose attempts are not in the list yet.
+void mergeCommands(std::vector<wire::Command>& list, std::vector<wire::Command> more) {
+  std::set<TaskAttempt> listed;
+  for (const auto& command : list) listed.insert({command.task, command.attempt});
+  for (auto& command : more) {
+    bool alreadyListed = listed.count({command.task, command.attempt}) > 0;
+    if (!alreadyListed) list.push_back(std::move(command));
+  }
+}
+
+// An attempt without a placement is known to be gone. It may not appear on the machine that has heard the
+// owner before without it.
+bool isReappearance(const Machine& machine, const wire::ReportedTask& reported) {
+  if (!machine.registered || reported.phase == TaskPhase::Exited) return false;
+  return std::none_of(machine.reported.begin(), machine.reported.end(), [&](const wire::ReportedTask& known) {
+    return known.task == reported.task && known.attempt == reported.attempt;
+  });
+}
+
 // The task is expected to complete before the cloud reclaims the machine.
 bool endsWithin(const Placement& placement, double secondsLeft, Time now) {
   const auto& spec = *placement.job->spec;
@@ -181,7 +200,7 @@
   // acknowledged a higher token.
   bool lostAnsweredLease =
       !change.firstHeartbeat && change.newIncarnation && source == HeartbeatSource::WorkerReport;
-  if (lostAnsweredLease) machine.fence.advanceToken();
+  if (lostAnsweredLease) requireAcknowledgement(machine, TokenRaiseReason::LeaseLost);
   if (machine.noCommandInDoubt())
     machine.tokenUnacknowledgedSince.reset();
   else
@@ -194,7 +213,10 @@
   auto now = runtime_.now();
   for (const auto& reported : heartbeat.tasks) {
     Placement* placement = machine.placementOf(reported);
-    if (!placement) continue;
+    if (!placement) {
+      if (isReappearance(machine, reported)) commandAudit_.attemptReappeared(machine, heartbeat, reported);
+      continue;
+    }
     if (reported.phase == TaskPhase::Exited) {
       handleTaskExit(machine, reported);
       continue;
@@ -229,7 +251,13 @@
 void ShardScheduler::countMissedStart(Machine& machine, bool missed) {
   machine.missedStarts = missed ? machine.missedStarts + 1 : 0;
   if (machine.missedStarts < kMissedStartsToAdvanceToken || !machine.noCommandInDoubt()) return;
+  requireAcknowledgement(machine, TokenRaiseReason::StartsMissed);
+}
+
+// Commands sent before are settled, and the machine gets work again, once it acknowledges a higher token.
+void ShardScheduler::requireAcknowledgement(Machine& machine, TokenRaiseReason reason) {
   machine.fence.advanceToken();
+  commandAudit_.tokenRaised(machine, reason);
   markTokenUnacknowledged(machine);
 }
 
@@ -246,6 +274,7 @@
 void ShardScheduler::handleWorkerRestart(Machine& machine, const wire::WorkerHeartbeat& answer) {
   log_->info("worker restarted: machine={} incarnation={}", machine.id.value, answer.incarnation.value);
   machine.fence.resetForRestartedWorker(answer);
+  commandAudit_.tokenRaised(machine, TokenRaiseReason::WorkerRestarted);
   machine.reported.clear();
   for (auto& [_, placement] : machine.placements) {
     if (placement.observed && placement.phase == TaskPhase::Running) --placement.job->running;
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -40,8 +40,9 @@
           {[this](const Machine& machine) { return movableReplicas(machine).has_value(); }, callbacks_.load}),
       machineRecordWriter_(settings, runtime, store, view, takeover, state_, callbacks_.dropOwnership) {}
 
-std::string ShardScheduler::summarizeLastMinute() {
-  return summarizeShard(shard(), state_, loadReporter_.excludedJobs(), latencies_);
+std::vector<std::string> ShardScheduler::summarizeLastMinute() {
+  return {summarizeShard(shard(), state_, loadReporter_.excludedJobs(), latencies_),
+          commandAudit_.summarizeAndReset()};
 }
 
 void ShardScheduler::start() {
@@ -60,8 +61,10 @@
   cleanUpCancelled();
   jobMigration_.restoreRemoteUsage();
   loaded_ = true;
-  log_->info("shard loaded shard={} jobs={} machines={} ms={}", takeover_.shard.value, state_.jobs().size(),
-             state_.machines().size(), recovery_.sinceStart().count());
+  log_->info("shard loaded shard={} jobs={} machines={} ms={} epoch={} jobs_revision={} machines_revision={}",
+             takeover_.shard.value, state_.jobs().size(), state_.machines().size(),
+             recovery_.sinceStart().count(), takeover_.epoch.value, store_.revisionOf(keys::kJobs).value,
+             store_.revisionOf(keys::kMachines).value);
   tick();
   requestPlacementRound(true);
 }
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -10,6 +10,7 @@
 #include "mesh/messages.h"
 #include "policy/gang.h"
 #include "scheduler/capacity_offers.h"
+#include "scheduler/command_audit.h"
 #include "scheduler/commit_in_flight.h"
 #include "scheduler/delegated_tasks.h"
 #include "scheduler/eviction_planner.h"
@@ -92,8 +93,8 @@
   ShardId shard() const { return takeover_.shard; }
   // The version of the shard's latest cancellation.
   Version lastCancellationVersion() const { return lastCancellationVersion_; }
-  // Log line for operators on the current state and the activity since the last call.
-  std::string summarizeLastMinute();
+  // Log lines for operators on the current state and the activity since the last call.
+  std::vector<std::string> summarizeLastMinute();
   const ShardCounters& counts() const { return latencies_.counts; }
 
  private:
@@ -105,6 +106,7 @@
     };
   }
   bool owns() const { return leaseValidity_.owns(runtime_.now()); }
+  Duration leaseLeft() const { return leaseValidity_.ownsUntil - runtime_.now(); }
 
   // Loading (invariant 7).
   void finishLoading(const ListResult& placementPages);
@@ -138,6 +140,7 @@
                              HeartbeatSource source);
   void countMissedStart(Machine& machine, bool missed);
   void markTokenUnacknowledged(Machine& machine);
+  void requireAcknowledgement(Machine& machine, TokenRaiseReason reason);
   void handleWorkerRestart(Machine& machine, const wire::WorkerHeartbeat& answer);
   void beginIncarnation(Machine& machine);
   void handleReclaimNotice(Machine& machine, const wire::WorkerHeartbeat& heartbeat);
@@ -170,8 +173,6 @@
   std::vector<wire::Command> commandsInAnswer(Machine& machine, const wire::WorkerHeartbeat& heartbeat);
   // Commands for a direct request: starts not sent yet, and stops at intervals. Marks them as sent.
   std::vector<wire::Command> takeDirectCommands(Machine& machine);
-  // For tasks in the last heartbeat that have no placement on the machine: stops them, and lets the worker
-  // forget them once they have ended.
   void addCommandsForUnknownTasks(Machine& machine, std::vector<wire::Command>& commands);
   bool isCompletionUncommitted(const TaskId& id);
   wire::Command stopCommandFor(const TaskId& task, const Placement& placement, Time now) const;
@@ -179,8 +180,6 @@
   // How long a stopped task may take to write its checkpoint. A gang member that has finished its checkpoint
   // waits for the others.
   Duration maxCheckpointTime(const Job& job) const;
-  // Appends those commands whose attempts are not in the list yet.
-  static void mergeCommands(std::vector<wire::Command>& list, std::vector<wire::Command> more);
   // Sends the machine its pending commands, or a probe if a heartbeat is needed. At most one request is in
   // flight per machine, and none is sent during the backoff after a failure.
   void sendCommands(Machine& machine);
@@ -380,6 +379,7 @@
   Time taskCapacityOfferedAt_{};
 
   StartLatencies latencies_;
+  CommandAudit commandAudit_{log_, takeover_.shard, latencies_.counts};
   LoadReporter loadReporter_;
   MachineRecordWriter machineRecordWriter_;
 };
--- a/src/scheduler/shard_state.h
+++ b/src/scheduler/shard_state.h
@@ -16,18 +16,11 @@
 #include "scheduler/job.h"
 #include "scheduler/machine_pool.h"
 #include "scheduler/placement_pages.h"
+#include "scheduler/task_attempt.h"
 #include "wire/workers.h"
 
 namespace cherryloft {
 
-// One execution of a task on a worker; a task may be attempted several times.
-struct TaskAttempt {
-  TaskId task;
-  Attempt attempt;
-  friend auto operator<=>(const TaskAttempt&, const TaskAttempt&) = default;
-  friend bool operator==(const TaskAttempt&, const TaskAttempt&) = default;
-};
-
 // A task that may be on a machine (invariant 1: from its commit on; it counts toward limits even before).
 //
 // State transitions (invariants 2, 3 and 8 define when a placement may be removed):
--- a/src/scheduler/start_latencies.h
+++ b/src/scheduler/start_latencies.h
@@ -35,6 +35,9 @@
   std::size_t starts = 0;            // task placements
   std::size_t machinesExamined = 0;  // machines examined for these placements
   std::size_t quarantined = 0;       // machines released as faulty
+  std::size_t tokenRaises = 0;       // of machines' fencing tokens, for any reason
+  // Attempts that a worker reported although they were known to be gone from it.
+  std::size_t attemptsReappeared = 0;
 };
 
 // Scheduling activity of a shard's owner between two calls of takeRoundCounters().
--- a/tests/world/scenario_expectations.cpp
+++ b/tests/world/scenario_expectations.cpp
@@ -146,6 +146,10 @@
       {"repeated-requests", [](const World& w) { return static_cast<double>(w.net.repeated()); }},
       {"replayed-reports", [](const World& w) { return static_cast<double>(w.replayedReports()); }},
       {"fenced-commands", [](const World& w) -> double { return w.checker.fencedCommands(); }},
+      {"token-raises",
+       [](const World& w) { return sumOfCounts(w, &cherryloft::ShardCounters::tokenRaises); }},
+      {"attempts-reappeared",
+       [](const World& w) { return sumOfCounts(w, &cherryloft::ShardCounters::attemptsReappeared); }},
       {"quarantined", [](const World& w) { return sumOfCounts(w, &cherryloft::ShardCounters::quarantined); }},
       {"examined-per-start",
        [](const World& w) {
