Fix: an attempt is forgotten only under a token above that of its direct start

A cancelled task can start again in the same way (`ran_cancelled`).

Cause: the owner took a direct command as settled once it was answered. After a `forget` the worker does not know the attempt, and a copy of its start starts it once more while token and incarnation match; the owner forgot under the token of the start. No restart is needed for it.

Why it works: the fence records under which token an attempt was started directly. The answer that tells the worker to forget it carries a higher token, which is raised for this if need be; a worker that carries out the forget has thereby seen the higher token, and rejects any copy of the start. A lost answer settles nothing and is repeated. A rise for this puts nothing in doubt, so the machine gets work as before, and comes at most once in half of a lease, as the worker reports once more for it. Attempts started by answers alone need none. No stored or wire form changes; what a former owner sent is below the new owner's epoch.

--- a/src/scheduler/command_audit.cpp
+++ b/src/scheduler/command_audit.cpp
@@ -31,6 +31,8 @@
       return "lease_lost";
     case TokenRaiseReason::WorkerRestarted:
       return "worker_restarted";
+    case TokenRaiseReason::AttemptsToForget:
+      return "attempts_to_forget";
   }
   return "?";
 }
@@ -58,7 +60,7 @@
 
 void CommandAudit::tokenRaised(const Machine& machine, TokenRaiseReason reason) {
   ++totals_.tokenRaises;
-  ++counters_.raisesInDoubt;
+  ++(reason == TokenRaiseReason::AttemptsToForget ? counters_.raisesToForget : counters_.raisesInDoubt);
   log_->debug("token raised: machine={} token={} reason={}", machine.id.value, machine.token().value,
               nameOf(reason));
 }
@@ -77,9 +79,9 @@
   auto counters = std::exchange(counters_, {});
   return fmt::format(
       "commands shard={} direct_starts={} answer_starts={} stops={} forgets={} raises_in_doubt={} "
-      "reappeared={}",
+      "raises_to_forget={} reappeared={}",
       shard_.value, counters.directStarts, counters.answerStarts, counters.stops, counters.forgets,
-      counters.raisesInDoubt, counters.reappeared);
+      counters.raisesInDoubt, counters.raisesToForget, counters.reappeared);
 }
 
 }  // namespace cherryloft
--- a/src/scheduler/command_audit.h
+++ b/src/scheduler/command_audit.h
@@ -23,6 +23,7 @@
   StartsMissed,  // answers to heartbeats do not seem to arrive
   LeaseLost,     // the worker's lease expired although its heartbeats were answered
   WorkerRestarted,
+  AttemptsToForget,  // copies of their start commands must have no effect once they are forgotten
 };
 
 class CommandAudit {
@@ -47,7 +48,8 @@
     std::size_t answerStarts = 0;
     std::size_t stops = 0;
     std::size_t forgets = 0;
-    std::size_t raisesInDoubt = 0;  // of tokens, as the effect of a command was unknown
+    std::size_t raisesInDoubt = 0;   // of tokens, as the effect of a command was unknown
+    std::size_t raisesToForget = 0;  // of tokens, for TokenRaiseReason::AttemptsToForget
     std::size_t reappeared = 0;
   };
 
--- a/src/scheduler/command_fence.cpp
+++ b/src/scheduler/command_fence.cpp
@@ -30,6 +30,11 @@
   return hasAcceptedHeartbeat && heartbeat.incarnation > latestPosition_.incarnation;
 }
 
+bool CommandFence::mayForget(const TaskAttempt& attempt) const {
+  auto start = directStarts_.find(attempt);
+  return noCommandInDoubt() && (start == directStarts_.end() || start->second < token());
+}
+
 void CommandFence::raiseBaseToken(FencingToken token) {
   if (token <= baseToken_) return;
   baseToken_ = token;
@@ -42,25 +47,33 @@
 }
 
 void CommandFence::accept(const wire::WorkerHeartbeat& heartbeat) {
+  // Direct commands name the incarnation that they are meant for.
+  if (startsNewIncarnation(heartbeat)) directStarts_.clear();
   latestPosition_ = positionOf(heartbeat);
   expectedIncarnation_ = heartbeat.incarnation;
-  highestTokenSeen_ = std::max(highestTokenSeen_, heartbeat.token);
+  if (heartbeat.token > highestTokenSeen_) {
+    highestTokenSeen_ = heartbeat.token;
+    std::erase_if(directStarts_, [&](const auto& start) { return start.second < highestTokenSeen_; });
+  }
   if (noCommandInDoubt()) commandInDoubt_.reset();
 }
 
+void CommandFence::raiseToken() { ++tokenGeneration_; }
+
 void CommandFence::advanceToken() {
   commandInDoubt_ = token();
-  ++tokenGeneration_;
+  raiseToken();
 }
 
 void CommandFence::recordUnansweredCommand(FencingToken commandToken) {
   commandInDoubt_ = commandToken;
-  ++tokenGeneration_;
+  raiseToken();
 }
 
 void CommandFence::expireIncarnation() {
   expiredIncarnation_ = latestPosition_.incarnation;
   commandInDoubt_.reset();
+  directStarts_.clear();
 }
 
 void CommandFence::resetForRestartedWorker(const wire::WorkerHeartbeat& answer) {
--- a/src/scheduler/command_fence.h
+++ b/src/scheduler/command_fence.h
@@ -22,14 +22,21 @@
 //        a heartbeat carries a token above the one in doubt, or the incarnation that the command named has
 //        ended
 //
+// A direct command that was carried out and answered may be delivered once more, too. As long as the worker
+// holds the attempts that it started, in any state, the copy does nothing; once they are forgotten, it starts
+// them again unless the worker has seen a higher token. So the fence records under which token an attempt was
+// started directly, until the worker has seen a higher one; it may be forgotten only under a higher one.
+//
 // The invariant numbers refer to docs/DESIGN.md.
 #pragma once
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "base/types.h"
+#include "scheduler/task_attempt.h"
 #include "wire/workers.h"
 
 namespace cherryloft {
@@ -62,6 +69,10 @@
     return !commandInDoubt_ || highestTokenSeen_ > *commandInDoubt_;
   }
 
+  // Whether a command under the current token may make the worker forget the exited attempt: after it, no
+  // direct command can start the attempt again.
+  [[nodiscard]] bool mayForget(const TaskAttempt& attempt) const;
+
   // --- classifying heartbeats ---
 
   // The worker has seen a token of this owner, so the heartbeat is not from before the takeover
@@ -87,6 +98,11 @@
   void raiseExpectedIncarnation(Incarnation incarnation);
   // Records a heartbeat for which isNewer() holds.
   void accept(const wire::WorkerHeartbeat& heartbeat);
+  // A direct command under the current token starts the attempt.
+  void recordDirectStart(const TaskAttempt& attempt) { directStarts_[attempt] = token(); }
+  // Raises the token, so that all exited attempts may be forgotten under it. Unlike after advanceToken(),
+  // nothing is in doubt: the command to forget carries the new token itself.
+  void raiseToken();
   // Commands sent under the current token have no effect once the worker has seen the next token.
   void advanceToken();
   // A command sent under that token was not answered: it may still be executed minutes later.
@@ -103,6 +119,9 @@
  private:
   FencingToken baseToken_;
   std::uint64_t tokenGeneration_ = 0;
+  // Attempts that direct commands started in the current incarnation, with the latest token of such a
+  // command, unless the worker has seen a higher one.
+  std::map<TaskAttempt, FencingToken> directStarts_;
   FencingToken highestTokenSeen_;  // highest token carried by an accepted heartbeat
   // Direct commands with tokens up to this one may still arrive, until the worker acknowledges a higher one.
   std::optional<FencingToken> commandInDoubt_;
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -97,7 +97,7 @@
       if (placement.stopSent == Time{}) placement.stopSent = now;
     }
   }
-  addCommandsForUnknownTasks(machine, commands);
+  unplacedTasks_.addCommands(machine, commands, kMaxCommands, now);
   commandAudit_.commandsSent(machine, CommandRoute::HeartbeatAnswer, commands, leaseLeft());
   return commands;
 }
@@ -112,6 +112,7 @@
       if (placement.startSent || !mayStart(*placement.job)) continue;
       commands.push_back(startCommand(task, placement));
       placement.startSent = true;
+      machine.fence.recordDirectStart({task, placement.attempt});
     } else if (placement.awaitsStop()) {
       if (now - placement.stopSent < kStopRetryInterval) continue;
       commands.push_back(stopCommandFor(task, placement, now));
@@ -121,29 +122,6 @@
   return commands;
 }
 
-// For tasks in the last heartbeat that have no placement on the machine: stops them, and lets the worker
-// forget them once they have ended.
-void ShardScheduler::addCommandsForUnknownTasks(Machine& machine, std::vector<Command>& commands) {
-  // Workers may forget exited tasks once no duplicate of their start command can arrive (invariant 3).
-  bool mayForget = machine.noCommandInDoubt() && !machine.commandInFlight;
-  for (const auto& reported : machine.reported) {
-    if (commands.size() >= kMaxCommands) return;
-    if (machine.placementOf(reported)) continue;
-    if (reported.phase != TaskPhase::Exited)
-      commands.push_back(stopCommand(reported.task, reported.attempt));
-    else if (mayForget && !isCompletionUncommitted(reported.task))
-      commands.push_back({Command::Verb::Forget, reported.task, reported.attempt, 0});
-  }
-}
-
-// A task's completion must be committed before the worker is told to forget the task (invariant 8).
-bool ShardScheduler::isCompletionUncommitted(const TaskId& id) {
-  const Job* job = state_.job(id.job);
-  if (!job || id.index >= job->tasks.size()) return false;
-  const Task& task = job->tasks[id.index];
-  return task.state == TaskState::Done && !task.doneCommitted && job->status == JobStatus::Open;
-}
-
 // --- direct commands ---
 
 void ShardScheduler::sendCommands(Machine& machine) {
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -10,7 +10,6 @@
 #include "mesh/messages.h"
 #include "policy/gang.h"
 #include "scheduler/capacity_offers.h"
-#include "scheduler/command_audit.h"
 #include "scheduler/commit_in_flight.h"
 #include "scheduler/delegated_tasks.h"
 #include "scheduler/eviction_planner.h"
@@ -26,6 +25,7 @@
 #include "scheduler/shard_summary.h"
 #include "scheduler/start_latencies.h"
 #include "scheduler/task_delegation.h"
+#include "scheduler/unplaced_tasks.h"
 #include "wire/users.h"
 
 namespace cherryloft {
@@ -173,8 +173,6 @@
   std::vector<wire::Command> commandsInAnswer(Machine& machine, const wire::WorkerHeartbeat& heartbeat);
   // Commands for a direct request: starts not sent yet, and stops at intervals. Marks them as sent.
   std::vector<wire::Command> takeDirectCommands(Machine& machine);
-  void addCommandsForUnknownTasks(Machine& machine, std::vector<wire::Command>& commands);
-  bool isCompletionUncommitted(const TaskId& id);
   wire::Command stopCommandFor(const TaskId& task, const Placement& placement, Time now) const;
   bool mayCheckpoint(const Placement& placement, Time now) const;
   // How long a stopped task may take to write its checkpoint. A gang member that has finished its checkpoint
@@ -380,6 +378,7 @@
 
   StartLatencies latencies_;
   CommandAudit commandAudit_{log_, takeover_.shard, latencies_.counts};
+  UnplacedTasks unplacedTasks_{settings_, state_, commandAudit_};
   LoadReporter loadReporter_;
   MachineRecordWriter machineRecordWriter_;
 };
--- a/src/scheduler/shard_state.cpp
+++ b/src/scheduler/shard_state.cpp
@@ -6,9 +6,12 @@
 namespace cherryloft {
 
 Placement* Machine::placementOf(const wire::ReportedTask& reported) {
+  return isPlaced(reported) ? &placements.at(reported.task) : nullptr;
+}
+
+bool Machine::isPlaced(const wire::ReportedTask& reported) const {
   auto found = placements.find(reported.task);
-  bool sameAttempt = found != placements.end() && found->second.attempt == reported.attempt;
-  return sameAttempt ? &found->second : nullptr;
+  return found != placements.end() && found->second.attempt == reported.attempt;
 }
 
 bool Machine::anyPending() const {
--- a/src/scheduler/shard_state.h
+++ b/src/scheduler/shard_state.h
@@ -118,6 +118,7 @@
   // Consecutive heartbeats without a task that the response to an earlier one should have started.
   unsigned missedStarts = 0;
   std::optional<Time> tokenUnacknowledgedSince;  // heartbeats arrive without our token (invariant 11)
+  std::optional<Time> tokenRaisedToForgetAt;     // the last time
 
   // --- drain and removal ---
   bool draining = false;                   // no new work; leaves once empty unless capacity becomes short
@@ -145,6 +146,7 @@
   }
   // The placement of exactly this attempt; null if it is not placed here.
   [[nodiscard]] Placement* placementOf(const wire::ReportedTask& reported);
+  [[nodiscard]] bool isPlaced(const wire::ReportedTask& reported) const;
   // Whether any task still has to be started or stopped.
   [[nodiscard]] bool anyPending() const;
   // A copy of the tasks whose placement satisfies the predicate, as callers may remove placements meanwhile.
--- a/tests/unit/command_fence_test.cpp
+++ b/tests/unit/command_fence_test.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr FencingToken kOwnToken{100};
+const TaskAttempt kAttempt{{JobId{"job-1"}, 0}, Attempt{1}};
+const TaskAttempt kOtherAttempt{{JobId{"job-1"}, 1}, Attempt{2}};
 
 wire::WorkerHeartbeat heartbeat(std::uint64_t incarnation, std::uint64_t sequence, FencingToken token) {
   wire::WorkerHeartbeat result;
@@ -99,6 +101,44 @@
   EXPECT_EQ(fence_.expectedIncarnation(), Incarnation{4});
 }
 
+TEST_F(CommandFenceTest, AttemptStartedDirectlyIsForgottenOnlyUnderHigherToken) {
+  fence_.recordDirectStart(kAttempt);
+  EXPECT_FALSE(fence_.mayForget(kAttempt));
+  EXPECT_TRUE(fence_.mayForget(kOtherAttempt));
+  fence_.raiseToken();
+  EXPECT_TRUE(fence_.mayForget(kAttempt));
+}
+
+TEST_F(CommandFenceTest, RaisingTokenToForgetPutsNothingInDoubt) {
+  fence_.raiseToken();
+  EXPECT_EQ(fence_.token(), FencingToken{kOwnToken.value + 1});
+  EXPECT_TRUE(fence_.noCommandInDoubt());
+}
+
+TEST_F(CommandFenceTest, RepeatedDirectStartCountsUnderItsLatestToken) {
+  fence_.recordDirectStart(kAttempt);
+  fence_.raiseToken();
+  fence_.recordDirectStart(kAttempt);
+  EXPECT_FALSE(fence_.mayForget(kAttempt));
+}
+
+TEST_F(CommandFenceTest, DirectStartEndsWithItsIncarnation) {
+  fence_.recordDirectStart(kAttempt);
+  fence_.accept(heartbeat(3, 1, kOwnToken));
+  EXPECT_TRUE(fence_.mayForget(kAttempt));
+  fence_.recordDirectStart(kAttempt);
+  fence_.expireIncarnation();
+  EXPECT_TRUE(fence_.mayForget(kAttempt));
+}
+
+TEST_F(CommandFenceTest, UnansweredDirectStartIsNotForgottenBeforeItsTokenIsOutdated) {
+  fence_.recordDirectStart(kAttempt);
+  fence_.recordUnansweredCommand(fence_.token());
+  EXPECT_FALSE(fence_.mayForget(kAttempt));
+  fence_.accept(heartbeat(2, 6, fence_.token()));
+  EXPECT_TRUE(fence_.mayForget(kAttempt));
+}
+
 // A new agent process restarts its counters at one; start commands sent to the old process may still reach
 // it.
 TEST_F(CommandFenceTest, AfterWorkerRestartAnswerIsNewerAndEarlierCommandsAreInDoubt) {
