Fencing tokens never leave their epoch; an owner that used them up gets a new one

Seen by callers: nothing yet. Tokens now rise for forgets, at most once in half of a lease for each machine, so an epoch that lasts for five to nine months (leases of 24 to 45 s) would come to the end of the 20 bits of the generation. The token would then have been one of the next epoch, and its owner would have been refused by the machine for good.

Change: CommandFence raises no token beyond its epoch; what needs a rise then stays as it is (nothing is forgotten, a command in doubt stays in doubt), and with the next tick the owner logs `fencing tokens used up`, gives up the ownership and loads the shard anew under a new epoch, as after a commit conflict.

--- a/src/base/fencing_token.h
+++ b/src/base/fencing_token.h
@@ -10,6 +10,8 @@
 using FencingToken = StrongType<struct FencingTokenTag, std::uint64_t>;
 
 inline constexpr unsigned kTokenGenerationBits = 20;
+// Generations of one epoch, numbered from 0; the next would be a token of the next epoch.
+inline constexpr std::uint64_t kTokenGenerations = std::uint64_t{1} << kTokenGenerationBits;
 inline FencingToken makeFencingToken(Epoch epoch, std::uint64_t generation = 0) {
   return FencingToken{(epoch.value << kTokenGenerationBits) + generation};
 }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/fencing_token.h"
 #include "base/types.h"
 
 namespace cherryloft {
@@ -86,6 +87,8 @@
   double listLagS = 5;  // by how much the cloud's list of machines may lag behind
   unsigned fdLimit = 1024;
   double clockErrorMs = 250;
+  // Fencing tokens that an owner has for a machine under one epoch; not read from the file.
+  std::uint64_t tokenGenerations = kTokenGenerations;
   Tuning tuning;
 
   // All controllers, sorted by name; each is the preferred owner of the shard with its index.
--- a/src/scheduler/command_fence.cpp
+++ b/src/scheduler/command_fence.cpp
@@ -58,7 +58,9 @@
   if (noCommandInDoubt()) commandInDoubt_.reset();
 }
 
-void CommandFence::raiseToken() { ++tokenGeneration_; }
+void CommandFence::raiseToken() {
+  if (!tokensExhausted()) ++tokenGeneration_;
+}
 
 void CommandFence::advanceToken() {
   commandInDoubt_ = token();
--- a/src/scheduler/command_fence.h
+++ b/src/scheduler/command_fence.h
@@ -35,6 +35,7 @@
 #include <map>
 #include <optional>
 
+#include "base/fencing_token.h"
 #include "base/types.h"
 #include "scheduler/task_attempt.h"
 #include "wire/workers.h"
@@ -53,8 +54,10 @@
 
 class CommandFence {
  public:
-  // `baseToken`: the lowest token that no previous owner has used for the machine.
-  explicit CommandFence(FencingToken baseToken = {}) : baseToken_(baseToken) {}
+  // `baseToken`: the lowest token that no previous owner has used for the machine. `generations`: how many
+  // tokens from there on are the owner's.
+  explicit CommandFence(FencingToken baseToken = {}, std::uint64_t generations = kTokenGenerations)
+      : baseToken_(baseToken), generations_(generations) {}
 
   // The token to put into commands and heartbeat answers.
   [[nodiscard]] FencingToken token() const { return FencingToken{baseToken_.value + tokenGeneration_}; }
@@ -72,6 +75,8 @@
   // Whether a command under the current token may make the worker forget the exited attempt: after it, no
   // direct command can start the attempt again.
   [[nodiscard]] bool mayForget(const TaskAttempt& attempt) const;
+  // The tokens of the epoch are used up: the owner needs a new epoch before it can raise the token again.
+  [[nodiscard]] bool tokensExhausted() const { return tokenGeneration_ + 1 >= generations_; }
 
   // --- classifying heartbeats ---
 
@@ -101,7 +106,8 @@
   // A direct command under the current token starts the attempt.
   void recordDirectStart(const TaskAttempt& attempt) { directStarts_[attempt] = token(); }
   // Raises the token, so that all exited attempts may be forgotten under it. Unlike after advanceToken(),
-  // nothing is in doubt: the command to forget carries the new token itself.
+  // nothing is in doubt: the command to forget carries the new token itself. Without effect if the tokens are
+  // exhausted.
   void raiseToken();
   // Commands sent under the current token have no effect once the worker has seen the next token.
   void advanceToken();
@@ -118,6 +124,7 @@
 
  private:
   FencingToken baseToken_;
+  std::uint64_t generations_;
   std::uint64_t tokenGeneration_ = 0;
   // Attempts that direct commands started in the current incarnation, with the latest token of such a
   // command, unless the worker has seen a higher one.
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -108,7 +108,8 @@
 Machine& ShardScheduler::addOwnedMachine(const MachineId& id, const MachineEntry& entry) {
   auto now = runtime_.now();
   auto& machine = state_.addMachine(id, entry, findType(view_.catalog, entry.record.type), now);
-  machine.fence = CommandFence{makeFencingToken(std::max(entry.record.token, takeover_.epoch))};
+  machine.fence = CommandFence{makeFencingToken(std::max(entry.record.token, takeover_.epoch)),
+                               settings_.tokenGenerations};
   // The former owner may have answered its heartbeats until the end of the grace period.
   machine.leaseExpiresAt = now + takeover_.formerOwnerAnswersFor + maxLeaseAfterAnswer();
   return machine;
@@ -227,6 +228,7 @@
     if (machine.directCommandDue) sendCommands(machine);
   }
   if (!owns()) return;
+  if (renewEpochIfExhausted()) return;
   returnSuspectedMachines(now);
   reviewFailures(now);
   reviewMigrations(now);
@@ -243,6 +245,19 @@
   if (writesPending || delegatedTasks_.anyReturnable(now)) requestPlacementRound(false);
 }
 
+// A machine whose tokens under this epoch are used up gets new ones with the next epoch, under which the
+// shard is loaded anew.
+bool ShardScheduler::renewEpochIfExhausted() {
+  const auto& machines = state_.machines();
+  auto exhausted = std::find_if(machines.begin(), machines.end(),
+                                [](const auto& entry) { return entry.second.fence.tokensExhausted(); });
+  if (exhausted == machines.end()) return false;
+  log_->info("fencing tokens used up: shard={} machine={} token={}", takeover_.shard.value,
+             exhausted->first.value, exhausted->second.token().value);
+  callbacks_.dropOwnership();
+  return true;
+}
+
 // After a stall of this process, received messages are handled before any machine is judged to be silent.
 // Probes that went unanswered meanwhile do not count, as the stall may have caused that.
 bool ShardScheduler::detectStall(Time now) {
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -214,6 +214,7 @@
   // Periodic maintenance.
   void tick();
   bool detectStall(Time now);
+  bool renewEpochIfExhausted();
   void decommission(Machine& machine, std::int32_t moveTarget);
   void advanceDrain(Machine& machine);
   std::optional<std::vector<TaskId>> movableReplicas(const Machine& machine) const;
--- a/src/scheduler/unplaced_tasks.cpp
+++ b/src/scheduler/unplaced_tasks.cpp
@@ -55,7 +55,7 @@
                                     Time now) const {
   auto waiting = std::count_if(attempts.begin(), attempts.end(),
                                [&](const TaskAttempt& attempt) { return !machine.fence.mayForget(attempt); });
-  if (waiting == 0) return;
+  if (waiting == 0 || machine.fence.tokensExhausted()) return;
   auto interval = seconds(settings_.workerLeaseS * kTokenRaiseIntervalInLeases);
   bool due = !machine.tokenRaisedToForgetAt || now - *machine.tokenRaisedToForgetAt >= interval;
   if (!due && waiting < kMaxWaitingToBeForgotten) return;
--- a/tests/unit/command_fence_test.cpp
+++ b/tests/unit/command_fence_test.cpp
@@ -139,6 +139,26 @@
   EXPECT_TRUE(fence_.mayForget(kAttempt));
 }
 
+TEST_F(CommandFenceTest, TokenNeverLeavesItsEpoch) {
+  CommandFence fence{makeFencingToken(Epoch{7})};
+  for (std::uint64_t generation = 0; generation < 2 * kTokenGenerations; ++generation) fence.raiseToken();
+  EXPECT_TRUE(fence.tokensExhausted());
+  EXPECT_EQ(epochOf(fence.token()), Epoch{7});
+  EXPECT_EQ(fence.token(), FencingToken{makeFencingToken(Epoch{8}).value - 1});
+}
+
+TEST_F(CommandFenceTest, WithExhaustedTokensNothingIsSettledBeforeTheNextEpoch) {
+  CommandFence fence{kOwnToken, 2};
+  fence.accept(heartbeat(2, 5, kOwnToken));
+  fence.raiseToken();
+  fence.recordDirectStart(kAttempt);
+  fence.raiseToken();
+  EXPECT_FALSE(fence.mayForget(kAttempt));
+  fence.recordUnansweredCommand(fence.token());
+  fence.accept(heartbeat(2, 6, fence.token()));
+  EXPECT_FALSE(fence.noCommandInDoubt());
+}
+
 // A new agent process restarts its counters at one; start commands sent to the old process may still reach
 // it.
 TEST_F(CommandFenceTest, AfterWorkerRestartAnswerIsNewerAndEarlierCommandsAreInDoubt) {
--- a/tests/world/scenario_setup.cpp
+++ b/tests/world/scenario_setup.cpp
@@ -77,6 +77,8 @@
       {"guest", [](const Line&, ScenarioSetup& setup) { setup.deployment.guest = true; }},
       {"workers", applyWorkers},
       {"store", applyStore},
+      {"token-generations",
+       [](const Line& line, ScenarioSetup& setup) { setup.deployment.tokenGenerations = line.count(1); }},
       {"type", applyMachineType},
       {"until", [](const Line& line, ScenarioSetup& setup) { setup.until = line.duration(1); }}};
   return words;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -126,7 +126,10 @@
       drift_(d.drift),
       mesh_(std::move(mesh)),
       settings_(cherryloft::parseSettings(d.settingsJson(number, !d.startsOnPreviousVersion), {})),
-      upgradedSettings_(cherryloft::parseSettings(d.settingsJson(number), {})) {}
+      upgradedSettings_(cherryloft::parseSettings(d.settingsJson(number), {})) {
+  settings_.tokenGenerations = d.tokenGenerations;
+  upgradedSettings_.tokenGenerations = d.tokenGenerations;
+}
 
 ControllerProcess::~ControllerProcess() = default;
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -26,6 +26,7 @@
   // Controllers start as an older version that ignores announced limits, until they are upgraded.
   bool startsOnPreviousVersion = false;
   double drift = 0.0005;
+  std::uint64_t tokenGenerations = cherryloft::kTokenGenerations;
   std::vector<CloudType> types;
   std::string settingsJson(unsigned node, bool announcesLimits = true) const;
 };
