Fix: a task that its worker lost is not known gone while a copy of its start can act

Seen by callers: a task would run on two machines (`ran_twice`) when a worker had lost its tasks without a new incarnation, as an agent that is back within a second with counts that go on, and a copy of their direct start came later.

Absence of an observed task from a newer heartbeat was taken as known gone at once, though the token of its direct start was still good there, so its replacement started elsewhere while the copy could act.

Why it works: such an absence proves nothing until the worker has acknowledged a token above that of the start.

--- a/src/scheduler/command_audit.cpp
+++ b/src/scheduler/command_audit.cpp
@@ -27,6 +27,8 @@
       return "command_unanswered";
     case TokenRaiseReason::StartsMissed:
       return "starts_missed";
+    case TokenRaiseReason::TasksLost:
+      return "tasks_lost";
     case TokenRaiseReason::LeaseLost:
       return "lease_lost";
     case TokenRaiseReason::WorkerRestarted:
--- a/src/scheduler/command_audit.h
+++ b/src/scheduler/command_audit.h
@@ -21,6 +21,7 @@
 enum class TokenRaiseReason : std::uint8_t {
   CommandUnanswered,
   StartsMissed,  // answers to heartbeats do not seem to arrive
+  TasksLost,     // tasks are gone although the worker's incarnation is not over
   LeaseLost,     // the worker's lease expired although its heartbeats were answered
   WorkerRestarted,
   AttemptsToForget,  // copies of their start commands must have no effect once they are forgotten
--- a/src/scheduler/command_fence.h
+++ b/src/scheduler/command_fence.h
@@ -72,6 +72,11 @@
     return !commandInDoubt_ || highestTokenSeen_ > *commandInDoubt_;
   }
 
+  // Whether the worker may still accept a direct command that starts the attempt, or a copy of one (invariant
+  // 3). It does nothing as long as the worker holds the attempt.
+  [[nodiscard]] bool directStartMayArrive(const TaskAttempt& attempt) const {
+    return directStarts_.count(attempt) > 0;
+  }
   // Whether a command under the current token may make the worker forget the exited attempt: after it, no
   // direct command can start the attempt again.
   [[nodiscard]] bool mayForget(const TaskAttempt& attempt) const;
--- a/tests/unit/command_fence_test.cpp
+++ b/tests/unit/command_fence_test.cpp
@@ -115,6 +115,15 @@
   EXPECT_TRUE(fence_.noCommandInDoubt());
 }
 
+TEST_F(CommandFenceTest, DirectStartMayArriveUntilWorkerHasSeenHigherToken) {
+  fence_.recordDirectStart(kAttempt);
+  fence_.raiseToken();
+  fence_.accept(heartbeat(2, 6, kOwnToken));
+  EXPECT_TRUE(fence_.directStartMayArrive(kAttempt));
+  fence_.accept(heartbeat(2, 7, fence_.token()));
+  EXPECT_FALSE(fence_.directStartMayArrive(kAttempt));
+}
+
 TEST_F(CommandFenceTest, RepeatedDirectStartCountsUnderItsLatestToken) {
   fence_.recordDirectStart(kAttempt);
   fence_.raiseToken();
@@ -125,10 +134,10 @@
 TEST_F(CommandFenceTest, DirectStartEndsWithItsIncarnation) {
   fence_.recordDirectStart(kAttempt);
   fence_.accept(heartbeat(3, 1, kOwnToken));
-  EXPECT_TRUE(fence_.mayForget(kAttempt));
+  EXPECT_FALSE(fence_.directStartMayArrive(kAttempt));
   fence_.recordDirectStart(kAttempt);
   fence_.expireIncarnation();
-  EXPECT_TRUE(fence_.mayForget(kAttempt));
+  EXPECT_FALSE(fence_.directStartMayArrive(kAttempt));
 }
 
 TEST_F(CommandFenceTest, UnansweredDirectStartIsNotForgottenBeforeItsTokenIsOutdated) {
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -33,6 +33,8 @@
   void injectTask(const std::string& job, std::uint32_t index);
   // From now on every task on this worker fails shortly after its start.
   void failAllTasks() { faulty_ = true; }
+  // Its tasks are gone, as if the agent had restarted, while its counters and its token go on.
+  void loseTasks() { dropTasks(); }
   // Its running tasks of that job fail now.
   void failTasksOf(const std::string& job);
   // From now on the worker ignores kills and the end of its lease, to test that the checker detects it.
--- a/tests/world/scenario_machine_actions.cpp
+++ b/tests/world/scenario_machine_actions.cpp
@@ -24,6 +24,11 @@
   if (!machine.empty()) context.world.cloud.reboot(machine, context.line.duration(4));
 }
 
+// lose-tasks MACHINE
+void loseTasks(Context context) {
+  if (auto* worker = context.world.cloud.worker(machineArgument(context))) worker->loseTasks();
+}
+
 // reclaim MACHINE NOTICE
 void reclaim(Context context) {
   auto machine = machineArgument(context);
@@ -76,9 +81,10 @@
 
 const ActionTable& machineActions() {
   static const ActionTable table{
-      {"reboot", {reboot, 4}},           {"reclaim", {reclaim}}, {"faulty", {failAllTasks}},
-      {"fail-tasks", {failTasksOfJob}},  {"die", {die}},         {"die-many", {dieMany}},
-      {"die-scattered", {dieScattered}}, {"hang", {hang, 4}},    {"hang-many", {hangMany, 5}}};
+      {"reboot", {reboot, 4}},     {"lose-tasks", {loseTasks}},       {"reclaim", {reclaim}},
+      {"faulty", {failAllTasks}},  {"fail-tasks", {failTasksOfJob}},  {"die", {die}},
+      {"die-many", {dieMany}},     {"die-scattered", {dieScattered}}, {"hang", {hang, 4}},
+      {"hang-many", {hangMany, 5}}};
   return table;
 }
 
