Answers to heartbeats not taken in, too, stop attempts that are known gone

Cause: of this exposure a part can't be closed: before the agent's first heartbeat is answered nothing of ours fences it (docs/QUESTIONS.md, 30). The other part was ours: a heartbeat older than what is known got no commands, so what the new agent ran was stopped only two answers and a probe later.

Why it works: an attempt that is known gone never comes back, so its stop is right in any answer, whoever hears it. An owner sends no other new commands there.

--- a/src/scheduler/heartbeats.cpp
+++ b/src/scheduler/heartbeats.cpp
@@ -106,10 +106,12 @@
     machine->leaseExpiresAt = std::max(machine->leaseExpiresAt, now + maxLeaseAfterAnswer());
   // Every answer stops cancelled tasks, as it renews the lease under which they run (invariant 16).
   auto commands = view_.stopCommandsForCancelled(heartbeat);
-  // A delayed duplicate gets no other commands, as the current worker does not wait for its answer (invariant
-  // 12).
-  if (owns() && result == ReconcileResult::Accepted)
-    mergeCommands(commands, commandsInAnswer(*machine, heartbeat));
+  // A delayed duplicate gets no starts and no forgets, as the current worker does not wait for its answer
+  // (invariant 12). It may be the heartbeat of a new worker that executed copies of old commands.
+  if (owns())
+    mergeCommands(commands, result == ReconcileResult::Accepted
+                                ? commandsInAnswer(*machine, heartbeat)
+                                : UnplacedTasks::stops(*machine, heartbeat.tasks));
   return {kHttpOk, wire::encodeHeartbeatAnswer(machine->token(), commands)};
 }
 
--- a/src/scheduler/unplaced_tasks.cpp
+++ b/src/scheduler/unplaced_tasks.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/unplaced_tasks.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cherryloft {
 namespace {
@@ -15,12 +16,21 @@
 
 }  // namespace
 
+std::vector<Command> UnplacedTasks::stops(const Machine& machine,
+                                          const std::vector<wire::ReportedTask>& reportedTasks) {
+  std::vector<Command> commands;
+  for (const auto& reported : reportedTasks) {
+    if (reported.phase == TaskPhase::Exited || machine.isPlaced(reported)) continue;
+    commands.push_back({Command::Verb::Stop, reported.task, reported.attempt, 0});
+  }
+  return commands;
+}
+
 void UnplacedTasks::addCommands(Machine& machine, std::vector<Command>& commands, std::size_t limit,
                                 Time now) const {
-  for (const auto& reported : machine.reported) {
+  for (auto& stop : stops(machine, machine.reported)) {
     if (commands.size() >= limit) return;
-    if (reported.phase == TaskPhase::Exited || machine.isPlaced(reported)) continue;
-    commands.push_back({Command::Verb::Stop, reported.task, reported.attempt, 0});
+    commands.push_back(std::move(stop));
   }
   auto attempts = forgettableAttempts(machine);
   raiseTokenIfDue(machine, attempts, now);
