Fix: a task whose recorded start never arrived is known gone again

Cause: let no absence count while a direct start may arrive, but asked for a higher token only for tasks that had been observed; nothing ever settled the others. The condition stood at the wrong depth, inside the proof of absence and once more beside it.

Why it works: the proof is again what it was; of each task that it proves absent the fence is asked once: either it is gone, or the owner asks for the acknowledgement that settles it with the next heartbeat.

--- a/src/scheduler/heartbeats.cpp
+++ b/src/scheduler/heartbeats.cpp
@@ -37,22 +37,16 @@
          heartbeat.sequence <= placement.startSentWith;
 }
 
-// Whether the absence of the task from the heartbeat proves that it is not on the machine, and will not be
-// (invariant 2).
-bool absenceProvesGone(const Machine& machine, const TaskId& task, const Placement& placement,
+// Whether the absence of the task from the heartbeat proves that it is not on the machine (invariant 2). A
+// copy of a direct start may still start it again.
+bool absenceProvesGone(const Machine& machine, const Placement& placement,
                        const wire::WorkerHeartbeat& heartbeat, HeartbeatSource source) {
-  if (machine.fence.directStartMayArrive({task, placement.attempt})) return false;
   if (placement.observed) return true;
   // A former owner's start command has no effect once the worker has seen our token.
   if (placement.restored && !placement.startSent) return true;
   return placement.startSent && !placement.desired && !startMayArrive(machine, placement, heartbeat, source);
 }
 
-// The worker has lost the task without a new incarnation, so a copy of its start may start it again.
-bool lostButRestartable(const Machine& machine, const TaskId& task, const Placement& placement) {
-  return placement.observed && machine.fence.directStartMayArrive({task, placement.attempt});
-}
-
 // Appends those commands whose attempts are not in the list yet.
 void mergeCommands(std::vector<wire::Command>& list, std::vector<wire::Command> more) {
   std::set<TaskAttempt> listed;
@@ -250,8 +244,11 @@
     bool listed = listedAttempts.count({task, placement.attempt}) > 0;
     if (listed || !placement.committed) continue;
     if (source == HeartbeatSource::WorkerReport && startMissed(placement, heartbeat)) missed = true;
-    if (absenceProvesGone(machine, task, placement, heartbeat, source)) lostTasks.push_back(task);
-    if (lostButRestartable(machine, task, placement)) restartable = true;
+    if (!absenceProvesGone(machine, placement, heartbeat, source)) continue;
+    if (machine.fence.directStartMayArrive({task, placement.attempt}))
+      restartable = true;
+    else
+      lostTasks.push_back(task);
   }
   countMissedStart(machine, missed);
   if (restartable && machine.noCommandInDoubt()) requireAcknowledgement(machine, TokenRaiseReason::TasksLost);
