Fix: a direct start that was certainly not sent counts as none

Cause: direct starts were recorded when commands were composed, also if the limit of commands in flight then kept them back, and stayed recorded when none was sent.

Why it works: a start is recorded where its command goes out, and erased if the outcome is that it was not sent. Each attempt has one direct start, so nothing else is lost.

--- a/src/scheduler/command_fence.h
+++ b/src/scheduler/command_fence.h
@@ -113,6 +113,8 @@
   void accept(const wire::WorkerHeartbeat& heartbeat);
   // A direct command under the current token starts the attempt.
   void recordDirectStart(const TaskAttempt& attempt) { directStarts_[attempt] = token(); }
+  // The only direct command that starts the attempt was certainly not sent.
+  void eraseUnsentStart(const TaskAttempt& attempt) { directStarts_.erase(attempt); }
   // Raises the token, so that all exited attempts may be forgotten under it. Unlike after advanceToken(),
   // nothing is in doubt: the command to forget carries the new token itself. Without effect if the tokens are
   // exhausted.
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -128,7 +128,6 @@
       if (!machine.fence.mayStart({task, placement.attempt})) continue;
       commands.push_back(startCommand(task, placement));
       placement.startSent = true;
-      machine.fence.recordDirectStart({task, placement.attempt});
     } else if (placement.awaitsStop()) {
       if (now - placement.stopSent < kStopRetryInterval) continue;
       commands.push_back(stopCommandFor(task, placement, now));
@@ -162,7 +161,10 @@
   ++directCommandsInFlight_;
   if (isProbe) ++probesInFlight_;
   auto incarnation = machine.registered ? machine.fence.incarnation() : machine.fence.expectedIncarnation();
-  DirectCommand sent{machine.token(), incarnation, machine.fence.latestPosition(), isProbe};
+  DirectCommand sent{machine.token(), incarnation, machine.fence.latestPosition(), isProbe, {}};
+  for (const auto& command : commands)
+    if (command.verb == Command::Verb::Start) sent.starts.push_back({command.task, command.attempt});
+  for (const auto& attempt : sent.starts) machine.fence.recordDirectStart(attempt);
   auto body = wire::encodeCommands(sent.token, sent.incarnation, commands);
   runtime_.call(*worker, {"POST", "/commands", std::move(body), false}, kDirectCommandTimeout,
                 guarded([this, id = machine.id, sent](const HttpResult& result) {
@@ -180,6 +182,7 @@
                   kMinDirectCommandsInFlight);
 }
 
+// Skips machines that are no longer in the shard state.
 void ShardScheduler::sendCommandsToAll(const std::set<MachineId>& machines) {
   for (const auto& id : machines)
     if (Machine* machine = state_.machine(id)) sendCommands(*machine);
@@ -224,6 +227,7 @@
   bool unreachable = machine.unansweredProbes >= kUnansweredProbesToSuspect;
   if (unreachable) probeThroughPeers(machine);
   if (result.outcome == HttpResult::Outcome::NotSent) {
+    for (const auto& attempt : sent.starts) machine.fence.eraseUnsentStart(attempt);
     machine.nextCommandNotBefore = now + kBackoffNotSent;
     return;
   }
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -167,13 +167,14 @@
     Incarnation incarnation;
     HeartbeatPosition latestHeartbeat;  // received from the machine when it was sent
     bool isProbe = false;               // carries no commands: only requests a heartbeat
+    std::vector<TaskAttempt> starts;    // the attempts that it starts
   };
   // Commands for the response to a heartbeat: starts and stops, repeated until a heartbeat confirms them, and
   // commands for tasks that the shard state does not know.
   std::vector<wire::Command> commandsInAnswer(Machine& machine, const wire::WorkerHeartbeat& heartbeat);
-  void raiseTokenForRestarts(Machine& machine);
   // Commands for a direct request: starts not sent yet, and stops at intervals. Marks them as sent.
   std::vector<wire::Command> takeDirectCommands(Machine& machine);
+  void raiseTokenForRestarts(Machine& machine);
   wire::Command stopCommandFor(const TaskId& task, const Placement& placement, Time now) const;
   bool mayCheckpoint(const Placement& placement, Time now) const;
   // How long a stopped task may take to write its checkpoint. A gang member that has finished its checkpoint
@@ -182,7 +183,6 @@
   // Sends the machine its pending commands, or a probe if a heartbeat is needed. At most one request is in
   // flight per machine, and none is sent during the backoff after a failure.
   void sendCommands(Machine& machine);
-  // Skips machines that are no longer in the shard state.
   void sendCommandsToAll(const std::set<MachineId>& machines);
   bool probeDue(const Machine& machine) const;
   std::size_t maxDirectCommandsInFlight() const;
