Reread: one lookup for a reported task, raises count only if a token rose

Change: Machine::isPlaced is gone, placementOf is as it was; CommandFence::raiseToken tells whether the token rose; Clock::between and Cloud::failTasksOf; an unused name in commands.cpp. Unit test StartThatWasNotSentCannotArrive.

--- a/src/scheduler/command_fence.cpp
+++ b/src/scheduler/command_fence.cpp
@@ -65,8 +65,10 @@
   if (noCommandInDoubt()) commandInDoubt_.reset();
 }
 
-void CommandFence::raiseToken() {
-  if (!tokensExhausted()) ++tokenGeneration_;
+bool CommandFence::raiseToken() {
+  if (tokensExhausted()) return false;
+  ++tokenGeneration_;
+  return true;
 }
 
 void CommandFence::advanceToken() {
--- a/src/scheduler/command_fence.h
+++ b/src/scheduler/command_fence.h
@@ -116,9 +116,9 @@
   // The only direct command that starts the attempt was certainly not sent.
   void eraseUnsentStart(const TaskAttempt& attempt) { directStarts_.erase(attempt); }
   // Raises the token, so that all exited attempts may be forgotten under it. Unlike after advanceToken(),
-  // nothing is in doubt: the command to forget carries the new token itself. Without effect if the tokens are
-  // exhausted.
-  void raiseToken();
+  // nothing is in doubt: the command to forget carries the new token itself. Returns false, without effect,
+  // if the tokens are exhausted.
+  bool raiseToken();
   // Commands sent under the current token have no effect once the worker has seen the next token.
   void advanceToken();
   // A command sent under that token was not answered: it may still be executed minutes later.
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using wire::Command;
-using wire::TaskPhase;
 
 constexpr Duration kDirectCommandTimeout{2'000};
 // Delays before the next direct command to a machine, after one that was ...
@@ -111,9 +110,8 @@
     const auto& [task, placement] = entry;
     return placement.awaitsStart() && !machine.fence.mayStart({task, placement.attempt});
   });
-  if (!needed || machine.fence.tokensExhausted()) return;
-  machine.fence.raiseToken();
-  commandAudit_.tokenRaised(machine, TokenRaiseReason::TaskRestarts);
+  if (needed && machine.fence.raiseToken())
+    commandAudit_.tokenRaised(machine, TokenRaiseReason::TaskRestarts);
 }
 
 std::vector<Command> ShardScheduler::takeDirectCommands(Machine& machine) {
--- a/src/scheduler/shard_state.cpp
+++ b/src/scheduler/shard_state.cpp
@@ -6,12 +6,9 @@
 namespace cherryloft {
 
 Placement* Machine::placementOf(const wire::ReportedTask& reported) {
-  return isPlaced(reported) ? &placements.at(reported.task) : nullptr;
-}
-
-bool Machine::isPlaced(const wire::ReportedTask& reported) const {
   auto found = placements.find(reported.task);
-  return found != placements.end() && found->second.attempt == reported.attempt;
+  bool sameAttempt = found != placements.end() && found->second.attempt == reported.attempt;
+  return sameAttempt ? &found->second : nullptr;
 }
 
 bool Machine::anyPending() const {
--- a/src/scheduler/shard_state.h
+++ b/src/scheduler/shard_state.h
@@ -146,7 +146,6 @@
   }
   // The placement of exactly this attempt; null if it is not placed here.
   [[nodiscard]] Placement* placementOf(const wire::ReportedTask& reported);
-  [[nodiscard]] bool isPlaced(const wire::ReportedTask& reported) const;
   // Whether any task still has to be started or stopped.
   [[nodiscard]] bool anyPending() const;
   // A copy of the tasks whose placement satisfies the predicate, as callers may remove placements meanwhile.
--- a/src/scheduler/unplaced_tasks.cpp
+++ b/src/scheduler/unplaced_tasks.cpp
@@ -16,11 +16,11 @@
 
 }  // namespace
 
-std::vector<Command> UnplacedTasks::stops(const Machine& machine,
+std::vector<Command> UnplacedTasks::stops(Machine& machine,
                                           const std::vector<wire::ReportedTask>& reportedTasks) {
   std::vector<Command> commands;
   for (const auto& reported : reportedTasks) {
-    if (reported.phase == TaskPhase::Exited || machine.isPlaced(reported)) continue;
+    if (reported.phase == TaskPhase::Exited || machine.placementOf(reported)) continue;
     commands.push_back({Command::Verb::Stop, reported.task, reported.attempt, 0});
   }
   return commands;
@@ -42,12 +42,12 @@
 }
 
 // Exited attempts that are needed no more, in the worker's reports as well as here.
-std::vector<TaskAttempt> UnplacedTasks::forgettableAttempts(const Machine& machine) const {
+std::vector<TaskAttempt> UnplacedTasks::forgettableAttempts(Machine& machine) const {
   std::vector<TaskAttempt> attempts;
   // A command in flight carries the present token, and would be rejected after a higher one.
   if (!machine.noCommandInDoubt() || machine.commandInFlight) return attempts;
   for (const auto& reported : machine.reported) {
-    if (reported.phase != TaskPhase::Exited || machine.isPlaced(reported)) continue;
+    if (reported.phase != TaskPhase::Exited || machine.placementOf(reported)) continue;
     if (!isCompletionUncommitted(reported.task)) attempts.push_back({reported.task, reported.attempt});
   }
   return attempts;
@@ -65,11 +65,11 @@
                                     Time now) const {
   auto waiting = std::count_if(attempts.begin(), attempts.end(),
                                [&](const TaskAttempt& attempt) { return !machine.fence.mayForget(attempt); });
-  if (waiting == 0 || machine.fence.tokensExhausted()) return;
+  if (waiting == 0) return;
   auto interval = seconds(settings_.workerLeaseS * kTokenRaiseIntervalInLeases);
   bool due = !machine.tokenRaisedToForgetAt || now - *machine.tokenRaisedToForgetAt >= interval;
   if (!due && waiting < kMaxWaitingToBeForgotten) return;
-  machine.fence.raiseToken();
+  if (!machine.fence.raiseToken()) return;
   machine.tokenRaisedToForgetAt = now;
   audit_.tokenRaised(machine, TokenRaiseReason::AttemptsToForget);
 }
--- a/src/scheduler/unplaced_tasks.h
+++ b/src/scheduler/unplaced_tasks.h
@@ -22,14 +22,14 @@
   // Stops for those of the reported tasks that run although nothing of them is placed on the machine. An
   // attempt that is known to be gone never comes back, so this may be sent in the answer to any heartbeat,
   // even a delayed one.
-  static std::vector<wire::Command> stops(const Machine& machine,
+  static std::vector<wire::Command> stops(Machine& machine,
                                           const std::vector<wire::ReportedTask>& reportedTasks);
   // Appends the commands for the answer to the machine's last accepted heartbeat, to at most `limit` in all.
   // May raise the machine's token.
   void addCommands(Machine& machine, std::vector<wire::Command>& commands, std::size_t limit, Time now) const;
 
  private:
-  std::vector<TaskAttempt> forgettableAttempts(const Machine& machine) const;
+  std::vector<TaskAttempt> forgettableAttempts(Machine& machine) const;
   bool isCompletionUncommitted(const TaskId& id) const;
   void raiseTokenIfDue(Machine& machine, const std::vector<TaskAttempt>& attempts, Time now) const;
 
--- a/tests/unit/command_fence_test.cpp
+++ b/tests/unit/command_fence_test.cpp
@@ -141,6 +141,13 @@
   EXPECT_TRUE(fence_.mayStart(nextAttempt));
 }
 
+TEST_F(CommandFenceTest, StartThatWasNotSentCannotArrive) {
+  fence_.recordDirectStart(kAttempt);
+  fence_.eraseUnsentStart(kAttempt);
+  EXPECT_FALSE(fence_.directStartMayArrive(kAttempt));
+  EXPECT_TRUE(fence_.mayForget(kAttempt));
+}
+
 TEST_F(CommandFenceTest, DirectStartEndsWithItsIncarnation) {
   fence_.recordDirectStart(kAttempt);
   fence_.accept(heartbeat(3, 1, kOwnToken));
--- a/tests/unit/unplaced_tasks_test.cpp
+++ b/tests/unit/unplaced_tasks_test.cpp
@@ -34,6 +34,13 @@
                                                   [&](const auto& command) { return command.verb == verb; }));
   }
   std::size_t forgets(Duration at) { return commandsOf(Command::Verb::Forget, at); }
+  // Attempt 0, started directly and exited, makes the token rise at time 0.
+  void raiseForOneAttempt() {
+    startDirectly(0, 1);
+    report(0, 1);
+    EXPECT_EQ(forgets(Duration{0}), 1U);
+    EXPECT_EQ(machine_.token(), FencingToken{kOwnToken.value + 1});
+  }
 
   Machine& machine_ = addMachine("m-1");
   ShardCounters counters_;
@@ -64,9 +71,7 @@
 }
 
 TEST_F(UnplacedTasksTest, TokenRisesOnceInHalfALease) {
-  startDirectly(0, 1);
-  report(0, 1);
-  EXPECT_EQ(forgets(Duration{0}), 1U);
+  raiseForOneAttempt();
   startDirectly(1, 1);
   report(1, 1);
   EXPECT_EQ(forgets(halfALease_ - Duration{1}), 1U);
@@ -76,9 +81,7 @@
 }
 
 TEST_F(UnplacedTasksTest, AHundredExitedAttemptsDoNotWait) {
-  startDirectly(0, 1);
-  report(0, 1);
-  EXPECT_EQ(forgets(Duration{0}), 1U);
+  raiseForOneAttempt();
   startDirectly(1, 100);
   report(1, 99);
   EXPECT_EQ(forgets(Duration{1}), 1U);
@@ -87,9 +90,7 @@
 }
 
 TEST_F(UnplacedTasksTest, AMachineWhoseTokenRoseToForgetTakesWork) {
-  startDirectly(0, 1);
-  report(0, 1);
-  EXPECT_EQ(forgets(Duration{0}), 1U);
+  raiseForOneAttempt();
   EXPECT_TRUE(machine_.open());
 }
 
--- a/tests/world/clock.h
+++ b/tests/world/clock.h
@@ -29,6 +29,10 @@
     now_ = until;
   }
   double uniform(double low, double high) { return std::uniform_real_distribution<double>(low, high)(rng); }
+  // A random duration from `least` to `most`.
+  Ms between(Ms least, Ms most) {
+    return static_cast<Ms>(uniform(static_cast<double>(least), static_cast<double>(most)));
+  }
   bool chance(double p) { return uniform(0, 1) < p; }
   std::mt19937_64 rng;
 
--- a/tests/world/cloud.cpp
+++ b/tests/world/cloud.cpp
@@ -74,6 +74,11 @@
   });
 }
 
+void Cloud::failTasksOf(const std::string& job) {
+  for (auto& [_, rented] : machines_)
+    if (rented.worker && rented.worker->alive()) rented.worker->failTasksOf(job);
+}
+
 void Cloud::reboot(const std::string& machine, Ms after) {
   if (auto& w = machines_.at(machine).worker) w->terminate();
   clock_.after(after, [this, machine] { bootCompleted(machine); });
--- a/tests/world/cloud.h
+++ b/tests/world/cloud.h
@@ -122,6 +122,8 @@
   void denyCapacity(Ms until) { capacityDeniedUntil_ = until; }
   void failMachine(const std::string& machine);
   void reclaim(const std::string& machine, Ms notice);
+  // All running tasks of the job fail now.
+  void failTasksOf(const std::string& job);
   // Its worker terminates with all tasks, and a new worker boots after the delay.
   void reboot(const std::string& machine, Ms after);
   std::string zoneOf(const std::string& machine) const;
--- a/tests/world/net.cpp
+++ b/tests/world/net.cpp
@@ -33,7 +33,7 @@
   for (const auto& d : delays_)
     if (clock_.now() < d.until && d.answers == answers && matches(d.from, from) && matches(d.to, to) &&
         path.compare(0, d.path.size(), d.path) == 0)
-      sum += static_cast<Ms>(clock_.uniform(static_cast<double>(d.least), static_cast<double>(d.most)));
+      sum += clock_.between(d.least, d.most);
   return sum;
 }
 
@@ -49,8 +49,7 @@
 void Network::duplicate(const std::string& from, const HttpRequest& r) {
   for (const auto& c : duplications_) {
     if (clock_.now() >= c.until || r.target != c.path || !matches(c.from, from)) continue;
-    auto requestDelay =
-        static_cast<Ms>(clock_.uniform(static_cast<double>(c.minDelay), static_cast<double>(c.maxDelay)));
+    auto requestDelay = clock_.between(c.minDelay, c.maxDelay);
     clock_.after(requestDelay, [this, from, r, to = c.to[clock_.rng() % c.to.size()]] {
       deliverCopy(from, to, r, clock_.now());
     });
@@ -73,8 +72,7 @@
     bool concerned = clock_.now() < c.until && matches(c.from, sent.from) && matches(c.to, sent.to) &&
                      sent.request.target.starts_with(c.path);
     if (!concerned || !clock_.chance(c.share)) continue;
-    auto delay =
-        static_cast<Ms>(clock_.uniform(static_cast<double>(c.minDelay), static_cast<double>(c.maxDelay)));
+    auto delay = clock_.between(c.minDelay, c.maxDelay);
     clock_.after(delay, [this, sent] {
       ++repeated_;
       deliverCopy(sent.from, sent.to, sent.request, sent.sentAt);
--- a/tests/world/scenario_machine_actions.cpp
+++ b/tests/world/scenario_machine_actions.cpp
@@ -71,11 +71,7 @@
 }
 
 // fail-tasks JOB: every task of the job that runs now fails
-void failTasksOfJob(Context context) {
-  auto job = context.line.jobId(3);
-  for (const auto& machine : context.world.checker.machinesRunning(job))
-    if (auto* worker = context.world.cloud.worker(machine)) worker->failTasksOf(job);
-}
+void failTasksOfJob(Context context) { context.world.cloud.failTasksOf(context.line.jobId(3)); }
 
 }  // namespace
 
--- a/tests/world/scenario_random_faults.cpp
+++ b/tests/world/scenario_random_faults.cpp
@@ -1,7 +1,6 @@
 // The event "random-faults": short faults of controllers, machines and connections, failing tasks and
 // cancellations, at random times and places.
 #include <array>
-#include <memory>
 
 #include "world/scenario_actions.h"
 
@@ -16,10 +15,6 @@
 constexpr Ms kReclaimNotice = 8'000;
 constexpr double kDelayedWrites = 0.3;  // fraction of the transactions
 
-Ms between(Clock& clock, Ms least, Ms most) {
-  return static_cast<Ms>(clock.uniform(static_cast<double>(least), static_cast<double>(most)));
-}
-
 template <class T>
 const T& anyOf(Clock& clock, const std::vector<T>& all) {
   return all[clock.rng() % all.size()];
@@ -38,20 +33,20 @@
 }
 
 Ms interruptionEnd(World& world) {
-  return world.clock.now() + between(world.clock, kMinInterruption, kMaxInterruption);
+  return world.clock.now() + world.clock.between(kMinInterruption, kMaxInterruption);
 }
 
 void restartOneFast(World& world) {
-  anyOf(world.clock, world.controllers)->crash(between(world.clock, kMinRestart, kFastRestart));
+  anyOf(world.clock, world.controllers)->crash(world.clock.between(kMinRestart, kFastRestart));
 }
 
 void restartOneSlowly(World& world) {
-  anyOf(world.clock, world.controllers)->crash(between(world.clock, kFastRestart, kSlowRestart));
+  anyOf(world.clock, world.controllers)->crash(world.clock.between(kFastRestart, kSlowRestart));
 }
 
 void restartAll(World& world) {
   for (auto& controller : world.controllers)
-    controller->crash(between(world.clock, kMinRestart, kFastRestart));
+    controller->crash(world.clock.between(kMinRestart, kFastRestart));
 }
 
 void cutControllerFromStore(World& world) {
@@ -83,11 +78,7 @@
   if (!machine.empty()) world.cloud.reclaim(machine, kReclaimNotice);
 }
 
-void failTasksOfJob(World& world) {
-  auto job = anyRunningJob(world);
-  for (const auto& machine : world.checker.machinesRunning(job))
-    if (auto* worker = world.cloud.worker(machine)) worker->failTasksOf(job);
-}
+void failTasksOfJob(World& world) { world.cloud.failTasksOf(anyRunningJob(world)); }
 
 void cancelJob(World& world) {
   auto job = anyRunningJob(world);
