--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -375,6 +375,7 @@
   bool lendable = false;
   double cores = 16, ram = 32, fetchGbPerS = 0.3;
   bool cut = false;  // its network is cut: nothing gets in or out
+  Ms reportDelay = 0;  // so long its reports are on their way
 
   Worker(Clock& clock, cherryloft::Log log, cherryloft::HttpClient& client, Checker& checker,
          WorkerSettings settings, std::vector<std::pair<std::string, Address>> nodes)
@@ -398,6 +399,30 @@
     *alive_ = false;
   }
   bool alive() const { return *alive_; }
+  // Its tasks exit by themselves with that cause.
+  void failTask(const std::string& task) {
+    std::vector<Key> running;
+    for (const auto& [key, held] : tasks_)
+      if (key.first == task && held.state == "running") running.push_back(key);
+    for (const auto& key : running) finish(key, "error");
+  }
+  bool knows(const std::string& task) const {
+    return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& held) { return held.first.first == task; });
+  }
+  // The machine restarts; its new worker process has the same address and counts from one.
+  void restart(Ms downFor) {
+    dropAll("machine restarts");
+    images_.clear();
+    downUntil_ = clock_.now() + downFor;
+    tenure_ = 1;
+    serial_ = token_ = 0;
+    ++boot_;
+    reporting_ = false;
+    leaseFrom_ = downUntil_;
+    schedule(downFor + 20);
+  }
+  // The direct commands that started tasks and were answered with 200, oldest first.
+  std::vector<std::string> answeredStarts;
   double freeCores() const { return cores - held(&JobDef::cores); }
   double freeRam() const { return ram - held(&JobDef::ram); }
 
@@ -425,7 +450,7 @@
     });
   }
   void whenRunning(std::function<void()> f) {
-    if (!*alive_ || cut) return;
+    if (!*alive_ || cut || clock_.now() < downUntil_) return;
     if (clock_.now() < hungUntil_)
       later(hungUntil_ - clock_.now(), [this, f = std::move(f)] { whenRunning(f); });
     else
@@ -463,15 +488,20 @@
     if (reporting_) return;
     reporting_ = true;
     lastReport_ = clock_.now();
-    auto finish = [this, sent = clock_.now(), tenure = tenure_, alive = alive_](const HttpResult& result) {
-      if (!*alive) return;
-      progress(0, [this, sent, tenure, result] {
+    auto finish = [this, sent = clock_.now(), tenure = tenure_, boot = boot_, alive = alive_](const HttpResult& result) {
+      if (!*alive || boot != boot_) return;
+      progress(0, [this, sent, tenure, boot, result] {
+        if (boot != boot_) return;
         reporting_ = false;
         reported(sent, tenure, result);
       });
     };
     if (cut) return clock_.after(4000, [finish] { finish({}); });
-    client_.call(nodes_[target_].second, {"POST", "/checkin", body(), false}, Duration{4000}, finish);
+    auto send = [this, to = nodes_[target_].second, text = body(), finish] {
+      client_.call(to, {"POST", "/checkin", text, false}, Duration{4000 - reportDelay}, finish);
+    };
+    if (reportDelay > 0) return clock_.after(reportDelay, send);
+    send();
   }
   void reported(Ms sent, std::uint64_t tenure, const HttpResult& result) {
     auto next = [this] {
@@ -507,7 +537,13 @@
     if (token < token_ || doc["tenure"].get<std::uint64_t>() != tenure_) return done({409, body(), false, 0});
     bool higher = token > token_;
     token_ = token;
-    execute(doc.value("orders", Json::array()), "direct");
+    auto orders = doc.value("orders", Json::array());
+    for (const auto& order : orders)
+      if (order.value("verb", "") == "start") {
+        answeredStarts.push_back(r.body);
+        break;
+      }
+    execute(orders, "direct");
     done({200, body(), false, 0});
     if (higher) reportSoon();
   }
@@ -603,7 +639,8 @@
   std::set<std::string> images_, results_;
   std::uint64_t tenure_ = 1, serial_ = 0, token_ = 0, runs_ = 0, timer_ = 0;
   std::size_t target_ = 0;
-  Ms leaseFrom_ = 0, lastReport_ = -10000, hungUntil_ = 0;
+  Ms leaseFrom_ = 0, lastReport_ = -10000, hungUntil_ = 0, downUntil_ = 0;
+  std::uint64_t boot_ = 0;  // of the worker process
   bool reporting_ = false;
 };
 
