--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -53,15 +53,25 @@
   return query;
 }
 
-// A free port below the range of outgoing connections.
+// A free port below the range of outgoing connections. A datagram socket on it, kept open, tells other runs on the
+// same machine that it is taken, before its owner listens.
 inline std::uint16_t freePort() {
   static std::mt19937 rng(std::random_device{}());
   for (int i = 0; i < 1000; ++i) {
     auto port = static_cast<std::uint16_t>(12000 + rng() % 19000);
-    int fd = cherryloft::listenOn({"127.0.0.1", port});
-    if (fd < 0) continue;
-    ::close(fd);
-    return port;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int mark = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    int fd = -1;
+    if (mark >= 0 && ::bind(mark, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0)
+      fd = cherryloft::listenOn({"127.0.0.1", port});
+    if (fd >= 0) {
+      ::close(fd);
+      return port;
+    }
+    if (mark >= 0) ::close(mark);
   }
   std::fprintf(stderr, "no free port\n");
   std::exit(2);
