--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -120,7 +120,7 @@
 ShardScheduler::Callbacks Controller::schedulerCallbacks(ShardId shard) {
   ShardScheduler::Callbacks callbacks;
   callbacks.jobEnded = [this](const JobId& id, JobStatus status, Version version) {
-    handleJobEnded(id, status, version);
+    announceJobEnd(id, status, version);
   };
   callbacks.load = [this](const mesh::ShardLoad& load) { sendLoad(load); };
   // Deferred to a timer, as this destroys the scheduler that is calling.
@@ -180,11 +180,9 @@
   }
 }
 
-void Controller::handleJobEnded(const JobId& id, JobStatus status, Version version) {
-  view_.jobEnded(id, status, version);
-  schedulers_.jobChanged(id);
-  // Controllers that answer workers or users should learn of the end before the user does; no guarantee
-  // depends on it.
+// Controllers that answer workers or users should learn of the end before the user does; no guarantee depends
+// on it. Our own view shows it already, as it shows everything that we committed.
+void Controller::announceJobEnd(const JobId& id, JobStatus status, Version version) {
   peers_.broadcast(mesh::JobEnded{id.value, status == JobStatus::Done, version.value});
 }
 
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -50,7 +50,7 @@
 
   // Shared records and jobs.
   void handleKeyChange(const wire::KeyChange& change);
-  void handleJobEnded(const JobId& id, JobStatus status, Version version);
+  void announceJobEnd(const JobId& id, JobStatus status, Version version);
   [[nodiscard]] double storeLimitFraction() const;
 
   // Messages to other controllers or to local components.
--- a/src/controller/user_api.cpp
+++ b/src/controller/user_api.cpp
@@ -96,17 +96,16 @@
   // The job may have been accepted earlier, under a larger limit.
   if (value.size() > settings_.maxValueBytes)
     return reject(id, {Rejection::Malformed, "the job's description is too long"}, std::move(done));
-  store_.create({keys::job(id), value, {}}, kCreateTimeout,
-                [this, id, value, done = std::move(done)](const TransactionResult& result) {
-                  handleCreateResult({keys::job(id), value, result.revision}, id, result, done);
+  store_.create({keys::job(id), std::move(value), {}}, kCreateTimeout,
+                [this, id, done = std::move(done)](const TransactionResult& result) {
+                  handleCreateResult(id, result, done);
                 });
 }
 
-void UserApi::handleCreateResult(const wire::KeyChange& created, const JobId& id,
-                                 const TransactionResult& result, const UserResponder& done) {
+void UserApi::handleCreateResult(const JobId& id, const TransactionResult& result,
+                                 const UserResponder& done) {
   switch (result.outcome) {
     case TransactionResult::Outcome::Committed:
-      callbacks_.recordObserved(created);
       return done(JobAccepted{id});
     case TransactionResult::Outcome::Conflict:
       return strongRead(id, done);
--- a/src/controller/user_api.h
+++ b/src/controller/user_api.h
@@ -24,7 +24,7 @@
     std::function<ShardScheduler*(ShardId)> scheduler;
     // Whether our lease is valid at this moment (invariant 6).
     std::function<bool()> holdsLease;
-    // Called with each record that was read or written here.
+    // Called with each record that was read here.
     std::function<void(const wire::KeyChange&)> recordObserved;
     // Called when the owner reported that a job has ended.
     std::function<void(const JobId&, JobStatus)> jobEnded;
@@ -44,8 +44,7 @@
  private:
   [[nodiscard]] const JobEntry* findJob(const JobId& id) const;
   void create(JobSpec spec, UserResponder done);
-  void handleCreateResult(const wire::KeyChange& created, const JobId& id, const TransactionResult& result,
-                          const UserResponder& done);
+  void handleCreateResult(const JobId& id, const TransactionResult& result, const UserResponder& done);
   void reject(const JobId& id, JobRejected rejected, UserResponder done);
   void strongRead(const JobId& id, UserResponder done);
   [[nodiscard]] UserResponse strongReadResponse(const JobId& id, const GetResult& result);
--- a/src/kvstore/key_value_client.cpp
+++ b/src/kvstore/key_value_client.cpp
@@ -113,11 +113,20 @@
   for (const auto& write : transaction.operations) ++counters_.writesByPrefix[firstSegmentOf(write.key)];
   HttpRequest request{"POST", "/txn", wire::encodeTransaction(transaction), false};
   auto writes = static_cast<unsigned>(transaction.operations.size());
-  auto answered = [done = std::move(done), withLease = attachesToLease(transaction)](
-                      const HttpResult& answer) { done(transactionResultOf(answer, withLease)); };
+  auto operations = std::make_shared<const std::vector<wire::Write>>(transaction.operations);
+  auto answered = [this, operations, done = std::move(done),
+                   withLease = attachesToLease(transaction)](const HttpResult& answer) {
+    auto result = transactionResultOf(answer, withLease);
+    if (result.committed()) reportCommitted(*operations, result.revision);
+    done(result);
+  };
   queue_.push(priority, {kTransact, std::move(request), writes}, deadline, std::move(answered));
 }
 
+void KeyValueClient::reportCommitted(const std::vector<wire::Write>& writes, Version revision) const {
+  for (const auto& write : writes) committed_({write.key, write.value, revision});
+}
+
 void KeyValueClient::get(RequestPriority priority, const std::string& key, Duration deadline,
                          std::function<void(GetResult)> done) {
   auto answered = [done = std::move(done)](const HttpResult& answer) { done(getResultOf(answer)); };
--- a/src/kvstore/key_value_client.h
+++ b/src/kvstore/key_value_client.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "kvstore/request_queue.h"
 #include "kvstore/results.h"
@@ -18,9 +20,14 @@
 /// pending calls. Each operation calls `done` exactly once, at the latest when its deadline expires.
 class KeyValueClient {
  public:
-  KeyValueClient(RequestQueue& queue, RequestCounters& counters) : queue_(queue), counters_(counters) {}
+  /// Called with each change that a transaction committed.
+  using CommitObserver = std::function<void(const wire::KeyChange&)>;
 
-  /// Executes all operations of the transaction if all its conditions hold, otherwise none.
+  KeyValueClient(RequestQueue& queue, RequestCounters& counters, CommitObserver committed)
+      : queue_(queue), counters_(counters), committed_(std::move(committed)) {}
+
+  /// Executes all operations of the transaction if all its conditions hold, otherwise none. The observer gets
+  /// the changes before `done` is called.
   void transact(RequestPriority priority, const wire::Transaction& transaction, Duration deadline,
                 std::function<void(TransactionResult)> done);
 
@@ -53,8 +60,11 @@
   void requestPage(const std::shared_ptr<ListCall>& call, const std::string& afterKey);
   void handlePage(const std::shared_ptr<ListCall>& call, const HttpResult& answer);
 
+  void reportCommitted(const std::vector<wire::Write>& writes, Version revision) const;
+
   RequestQueue& queue_;
   RequestCounters& counters_;
+  CommitObserver committed_;
 };
 
 }  // namespace cherryloft
--- a/src/kvstore/key_value_store.cpp
+++ b/src/kvstore/key_value_store.cpp
@@ -29,7 +29,7 @@
       rng_(seed),
       limiter_(settings, runtime.now()),
       queue_(settings, runtime, limiter_, counters_, rng_),
-      client_(queue_, counters_),
+      client_(queue_, counters_, [this](const wire::KeyChange& change) { applyCommitted(change); }),
       creations_(settings, runtime, client_, limiter_, counters_) {}
 
 bool KeyValueStore::writesSaturated() const {
@@ -92,6 +92,10 @@
   return std::all_of(caches_.begin(), caches_.end(), [](const auto& cache) { return cache->loaded(); });
 }
 
+void KeyValueStore::applyCommitted(const wire::KeyChange& change) {
+  for (auto& cache : caches_) cache->applyCommitted(change);
+}
+
 WatchCache* KeyValueStore::findCache(const std::string& prefix) const {
   auto found = std::find_if(caches_.begin(), caches_.end(),
                             [&](const auto& cache) { return cache->prefix() == prefix; });
--- a/src/kvstore/key_value_store.h
+++ b/src/kvstore/key_value_store.h
@@ -76,6 +76,9 @@
   [[nodiscard]] RequestCounters takeCounters() { return std::exchange(counters_, {}); }
 
   // --- watch caches ---
+  //
+  // When a transaction or a creation is answered as committed, the watch caches of its keys have applied what
+  // it wrote before `done` is called. So whoever reads them never sees a state older than an own commit.
 
   /// Starts a watch cache of the prefix. Call at most once per prefix; see WatchCache for the listener.
   void watch(const std::string& prefix, WatchCache::Listener listener);
@@ -99,6 +102,7 @@
 
  private:
   [[nodiscard]] WatchCache* findCache(const std::string& prefix) const;
+  void applyCommitted(const wire::KeyChange& change);
 
   const Settings& settings_;
   Runtime& runtime_;
--- a/src/kvstore/watch_cache.cpp
+++ b/src/kvstore/watch_cache.cpp
@@ -48,7 +48,7 @@
   bool outdated = result.revision < revision_;
   if (!outdated) {
     applyListedEntries(result);
-    revision_ = result.revision;
+    advanceRevision(result.revision);
     currentAsOf_ = std::max(currentAsOf_, sentAt);
   }
   startWatching();
@@ -60,12 +60,14 @@
   removeAbsentKeys(result);
 }
 
-// Handles keys that were deleted while no watch was open.
+// Handles keys that were deleted while no watch was open. A key that an own transaction wrote after the list
+// was taken is kept.
 void WatchCache::removeAbsentKeys(const ListResult& result) {
   std::set<std::string> present;
   for (const auto& entry : result.entries) present.insert(entry.key);
   for (auto it = versions_.begin(); it != versions_.end();) {
-    if (present.count(it->first) > 0) {
+    bool newerThanList = it->second > result.revision;
+    if (newerThanList || present.count(it->first) > 0) {
       ++it;
       continue;
     }
@@ -106,11 +108,25 @@
     bool isNew = change.value ? recordWrite(change) : recordDelete(change);
     if (isNew) listener_(change);
   }
-  revision_ = std::max(revision_, page.revision);
+  advanceRevision(page.revision);
   currentAsOf_ = std::max(currentAsOf_, sentAt);
 }
 
+void WatchCache::advanceRevision(Version revision) {
+  revision_ = std::max(revision_, revision);
+  std::erase_if(deletedAhead_, [this](const auto& deleted) { return deleted.second <= revision_; });
+}
+
+void WatchCache::applyCommitted(const wire::KeyChange& change) {
+  if (!change.key.starts_with(prefix_) || change.version <= revision_) return;
+  if (!change.value) deletedAhead_[change.key] = change.version;
+  bool isNew = change.value ? recordWrite(change) : recordDelete(change);
+  if (isNew) listener_(change);
+}
+
 bool WatchCache::recordWrite(const wire::KeyChange& change) {
+  auto deleted = deletedAhead_.find(change.key);
+  if (deleted != deletedAhead_.end() && change.version <= deleted->second) return false;
   auto& version = versions_[change.key];
   if (change.version <= version) return false;
   version = change.version;
--- a/src/kvstore/watch_cache.h
+++ b/src/kvstore/watch_cache.h
@@ -12,8 +12,9 @@
 namespace cherryloft {
 
 /// Lists the prefix once and then watches its changes for the lifetime of the process, tolerating failed
-/// requests and responses that arrive late or out of order. It stores only the versions of the keys; the
-/// listener stores their values.
+/// requests and responses that arrive late or out of order. Changes that this controller itself committed are
+/// applied with the answer to their transaction, ahead of the watch (read-your-writes). It stores only the
+/// versions of the keys; the listener stores their values.
 ///
 /// Runs on the event loop's thread only. Everything it references must outlive it, and it must outlive the
 /// calls and timers that it starts. The listener must not destroy it.
@@ -34,6 +35,11 @@
   /// Starts the cache, or replaces the request in flight, which may never be answered after an outage.
   void restart();
 
+  /// Applies a change that a transaction of this controller committed, before the watch reports it: the
+  /// listener never lags behind the controller's own writes. The watch then reports neither this change nor
+  /// older ones of the key. Does nothing if the watch was faster, or if the prefix does not match.
+  void applyCommitted(const wire::KeyChange& change);
+
   /// Calls `done` once everything committed before this call has been applied, or with Failed if that cannot
   /// be determined: at once while the cache is not loaded, else after the response or its deadline.
   void waitUntilCurrent(std::function<void(CatchUpResult)> done);
@@ -66,6 +72,7 @@
   // Record a change in versions_. Return whether it is new to the listener.
   [[nodiscard]] bool recordWrite(const wire::KeyChange& change);
   [[nodiscard]] bool recordDelete(const wire::KeyChange& change);
+  void advanceRevision(Version revision);
 
   Runtime& runtime_;
   KeyValueClient& client_;
@@ -73,6 +80,8 @@
   std::string prefix_;
   Listener listener_;
   std::map<std::string, Version> versions_;  // of all known keys
+  // Keys that own transactions deleted at revisions that the watch has not reached yet.
+  std::map<std::string, Version> deletedAhead_;
   Version revision_;
   Time currentAsOf_{};  // send time of the latest answered request
   Phase phase_ = Phase::Listing;
--- a/src/scheduler/commit_in_flight.h
+++ b/src/scheduler/commit_in_flight.h
@@ -66,7 +66,6 @@
   std::vector<TaskId> completions;
   std::vector<JobEndWrite> jobEnds;
   std::vector<JobId> migrations;
-  std::vector<DelegationWrite> delegations;
   std::vector<DelegationReturn> delegationReturns;
 
   // Whether the transaction writes the job's terminal status, or its migration.
--- a/src/scheduler/commits.cpp
+++ b/src/scheduler/commits.cpp
@@ -95,7 +95,7 @@
   addJobEnds(transaction);
   commitInFlight_->migrations = jobMigration_.addPlanned(transaction);
   jobMigration_.addCleanups(transaction);
-  commitInFlight_->delegations = taskDelegation_.addPlanned(transaction);
+  taskDelegation_.addPlanned(transaction);
   commitInFlight_->delegationReturns = delegatedTasks_.addReturns(transaction, runtime_.now());
   // An ownership transfer doesn't wait for pages: in a large shard, tasks complete all the time. The next
   // owner learns of completions from heartbeats, as workers are told to forget a task only after its
@@ -202,8 +202,7 @@
   for (auto page : commit.deletedPages) state_.pages().erase(page);
   for (const auto& task : commit.completions) completionCommitted(task);
   for (const auto& job : commit.migrations) migrationCommitted(job);
-  for (const auto& write : commit.delegations) taskDelegation_.committed(write, revision);
-  for (const auto& write : commit.delegationReturns) handleCommittedReturn(write, revision);
+  for (const auto& write : commit.delegationReturns) handleCommittedReturn(write);
   std::set<MachineId> machinesToCommand;
   for (const auto& write : commit.placements) placementCommitted(write, machinesToCommand);
   for (const auto& write : commit.jobEnds) jobEndCommitted(write, revision, machinesToCommand);
@@ -220,8 +219,13 @@
   runCancelCallbacks(*job, JobStatus::Open);
   failures_.forget(id);
   state_.removeJob(id);
+  takeUpLaterRecord(id);
 }
 
+// The job was given away by a commit. While its answer was on its way the job may have come back, which was
+// not acted on as long as the former copy was in the shard state.
+void ShardScheduler::takeUpLaterRecord(const JobId& id) { jobChanged(id); }
+
 void ShardScheduler::completionCommitted(const TaskId& id) {
   Job* job = state_.job(id.job);
   if (!job) return;
--- a/src/scheduler/delegated_tasks.cpp
+++ b/src/scheduler/delegated_tasks.cpp
@@ -14,17 +14,8 @@
 
 }  // namespace
 
-DelegatedTasks::DelegatedTasks(const Settings& settings, const ClusterView& view, ShardState& state,
-                               ShardId ownShard, Log log)
-    : settings_(settings), view_(view), state_(state), ownShard_(ownShard), log_(std::move(log)) {}
-
-bool DelegatedTasks::wasReturnedAfter(const JobId& job, Version observed) {
-  auto found = returnedAt_.find(job);
-  if (found == returnedAt_.end()) return false;
-  if (observed < found->second) return true;
-  returnedAt_.erase(found);
-  return false;
-}
+DelegatedTasks::DelegatedTasks(const Settings& settings, const ClusterView& view, ShardState& state, Log log)
+    : settings_(settings), view_(view), state_(state), log_(std::move(log)) {}
 
 // Lists the tasks to return to the owner now. These are all tasks that are not placed, once none is left
 // to run, or once the waiting ones found no capacity for too long or were recalled. For a gang, also as soon
@@ -72,10 +63,9 @@
   return added;
 }
 
-bool DelegatedTasks::committed(const DelegationReturn& written, Version version) {
+bool DelegatedTasks::committed(const DelegationReturn& written) {
   Job* job = state_.job(written.job);
   if (!job || job->status != JobStatus::Open) return false;
-  job->version = version;
   for (auto index : written.tasks) {
     auto& task = job->tasks[index];
     std::erase(job->waiting, index);
@@ -86,7 +76,6 @@
   job->delegation->tasks = written.remaining.tasks;
   log_->info("delegated tasks returned: job={} tasks={}", written.job.value, written.tasks.size());
   if (!written.remaining.tasks.empty()) return false;
-  returnedAt_[written.job] = version;
   jobs_.erase(written.job);
   return true;
 }
--- a/src/scheduler/delegated_tasks.h
+++ b/src/scheduler/delegated_tasks.h
@@ -11,7 +11,6 @@
 // the state must outlive it.
 #pragma once
 
-#include <map>
 #include <set>
 #include <vector>
 
@@ -28,8 +27,7 @@
 
 class DelegatedTasks {
  public:
-  DelegatedTasks(const Settings& settings, const ClusterView& view, ShardState& state, ShardId ownShard,
-                 Log log);
+  DelegatedTasks(const Settings& settings, const ClusterView& view, ShardState& state, Log log);
 
   // Whether the shard state contains no task of another shard's job.
   [[nodiscard]] bool none() const { return jobs_.empty(); }
@@ -38,17 +36,13 @@
   // To be called when the job is removed from the shard state. Does nothing for this shard's own jobs.
   void remove(const JobId& job) { jobs_.erase(job); }
 
-  // Whether the delegation was completely returned at a later version of the job's record than the given one,
-  // so that a cluster view at this version may still show the delegation.
-  [[nodiscard]] bool wasReturnedAfter(const JobId& job, Version observed);
-
   // Whether any job has tasks to return to its owner now.
   [[nodiscard]] bool anyReturnable(Time now) const;
   // Adds the returns that fit to the transaction, and returns them.
   [[nodiscard]] std::vector<DelegationReturn> addReturns(TransactionBuilder& transaction, Time now);
-  // The return was committed at that version of the job's record. Returns true if this shard has no tasks of
-  // the job left; the caller must then remove the job from the shard state.
-  [[nodiscard]] bool committed(const DelegationReturn& written, Version version);
+  // The return was committed, and the cluster view shows that record or a later one. Returns true if this
+  // shard has no tasks of the job left; the caller must then remove the job from the shard state.
+  [[nodiscard]] bool committed(const DelegationReturn& written);
 
  private:
   std::vector<std::uint32_t> returnable(const Job& job, Time now) const;
@@ -56,12 +50,8 @@
   const Settings& settings_;
   const ClusterView& view_;
   ShardState& state_;
-  ShardId ownShard_;
   Log log_;
   std::set<JobId> jobs_;
-  // Delegations that were completely returned, with the version at which that was committed. The cluster view
-  // may show them until it has reached that version.
-  std::map<JobId, Version> returnedAt_;
 };
 
 }  // namespace cherryloft
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -67,7 +67,7 @@
 
 void ShardScheduler::handleGangMemberLost(Job& job) {
   if (!job.isGang() || job.status != JobStatus::Open || job.gangDone()) return;
-  if (job.remote > 0 && !job.delegation) planRecall(job);
+  if (job.remote > 0 && !job.delegation) taskDelegation_.planRecall(job);
   // The progress since the last checkpoint is lost along with the lost member: a final checkpoint is useless.
   stopGang(job, GangCheckpoint::Skipped);
 }
--- a/src/scheduler/machine_record_writer.cpp
+++ b/src/scheduler/machine_record_writer.cpp
@@ -9,7 +9,7 @@
 // Machines of a group come up one after another: their addresses are batched into one write.
 constexpr Duration kAddressBatchingTime{3'000};
 constexpr Duration kWriteTimeout{2'000};
-// Time for a write to become visible in the cluster view, before it is compared with the shard state again.
+// Spaces the writes; also the time for one without an answer to become visible in the cluster view.
 constexpr Duration kViewUpdateDelay{300};
 
 // Whether the machine is to leave the shard, and nothing the shard sent can still take effect on it.
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -29,7 +29,7 @@
       taskDelegation_(
           settings, view, state_, takeover.shard,
           [this](const Job& job, const Zone& zone) { return constraints_.allowsZone(job, zone); }, log_),
-      delegatedTasks_(settings, view, state_, takeover.shard, log_),
+      delegatedTasks_(settings, view, state_, log_),
       loadReporter_(
           settings, view.catalog, runtime, takeover, state_, failures_,
           {[this](const Job& job) { return constraints_.shouldAvoidSpot(job); },
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -292,7 +292,6 @@
   void reviewDelegations(Time now);
   mesh::TaskCapacityNeed taskCapacityNeed(const Job& job) const;
   bool planDelegations(Job& job, Time now);
-  void planRecall(Job& job) { taskDelegation_.planRecall(job); }
   void resumeDelegations(Job& job);
   void handleOwnedJobChange(Job& job, const JobEntry& entry);
   // ... and for jobs of other shards.
@@ -300,7 +299,7 @@
   Job& acceptDelegation(const JobId& id, const JobEntry& entry, const Delegation& delegation);
   void handleDelegationRecall(Job& job);
   void cancelDelegatedTasks(Job& job);
-  void handleCommittedReturn(const DelegationReturn& written, Version version);
+  void handleCommittedReturn(const DelegationReturn& written);
   bool mayHaveUnseenCancellations(Time now) const;
   // Commits.
   void commit();
@@ -316,6 +315,7 @@
   void addPageDeletion(TransactionBuilder& transaction);
   void applyCommit(Version revision);
   void migrationCommitted(const JobId& id);
+  void takeUpLaterRecord(const JobId& id);
   void completionCommitted(const TaskId& id);
   void placementCommitted(const PlacementWrite& write, std::set<MachineId>& machinesToCommand);
   void jobEndCommitted(const JobEndWrite& write, Version revision, std::set<MachineId>& machinesToCommand);
--- a/src/scheduler/task_delegation.cpp
+++ b/src/scheduler/task_delegation.cpp
@@ -73,15 +73,14 @@
   return recordAfterDelegation(job, entry, ownShard_, change);
 }
 
-std::vector<DelegationWrite> TaskDelegation::addPlanned(TransactionBuilder& transaction) {
-  std::vector<DelegationWrite> added;
+void TaskDelegation::addPlanned(TransactionBuilder& transaction) {
   for (auto position = plans_.begin(); position != plans_.end();) {
     auto& plan = position->second;
     Job* job = state_.job(position->first);
     bool open = job && job->open();
     bool fits = open && add(transaction, *job, plan);
     if (fits) {
-      added.push_back(std::move(plan));
+      job->delegations.insert(job->delegations.end(), plan.planned.begin(), plan.planned.end());
     } else if (open && plan.recall) {
       ++position;
       continue;
@@ -91,7 +90,6 @@
     }
     position = plans_.erase(position);
   }
-  return added;
 }
 
 bool TaskDelegation::add(TransactionBuilder& transaction, const Job& job,
@@ -107,15 +105,6 @@
 
 // --- committed records ---
 
-// The cluster view may have shown this version, or later writes by delegates, before the commit's response
-// arrived.
-void TaskDelegation::committed(const DelegationWrite& written, Version version) {
-  Job* job = state_.job(written.job);
-  if (!job || job->version >= version) return;
-  job->version = version;
-  job->delegations.insert(job->delegations.end(), written.planned.begin(), written.planned.end());
-}
-
 std::optional<ReturnedTasks> TaskDelegation::applyReturns(Job& job, const JobEntry& entry) {
   bool bothOpen = entry.status == JobStatus::Open && job.status == JobStatus::Open;
   if (!bothOpen || job.version >= entry.version) return std::nullopt;
--- a/src/scheduler/task_delegation.h
+++ b/src/scheduler/task_delegation.h
@@ -58,13 +58,11 @@
   // Drops the plan for the job and puts its tasks back into the job's queue, ordered by index.
   void dropPlan(Job& job);
 
-  // Adds the planned writes that fit to the transaction, and returns them. A recall that can't be added stays
-  // planned. A delegation that can't be added is dropped, as the offered capacity will be gone by the next
-  // commit.
-  [[nodiscard]] std::vector<DelegationWrite> addPlanned(TransactionBuilder& transaction);
-  // The change was committed at that version of the job's record.
-  void committed(const DelegationWrite& written, Version version);
-
+  // Adds the planned writes that fit to the transaction; the job counts as having their delegations from then
+  // on, as the cluster view may show a return of them before the commit is answered. A recall that can't be
+  // added stays planned. A delegation that can't be added is dropped, as the offered capacity will be gone by
+  // the next commit.
+  void addPlanned(TransactionBuilder& transaction);
   // Applies a newer record of one of this shard's jobs from the cluster view, in which delegates may have
   // returned tasks. Returns nothing if the record is not newer than the known version or the job has ended.
   [[nodiscard]] std::optional<ReturnedTasks> applyReturns(Job& job, const JobEntry& entry);
--- a/src/scheduler/task_delegation_delegate.cpp
+++ b/src/scheduler/task_delegation_delegate.cpp
@@ -53,7 +53,6 @@
   const auto* delegation = findDelegation(entry.delegations, takeover_.shard);
   Job* job = state_.job(id);
   if (!job) {
-    if (delegatedTasks_.wasReturnedAfter(id, entry.version)) return;
     if (!delegation || entry.status != JobStatus::Open || !entry.spec) return;
     acceptDelegation(id, entry, *delegation);
     requestPlacementRound(true);
@@ -93,10 +92,11 @@
 
 // --- tasks returned to the owner ---
 
-void ShardScheduler::handleCommittedReturn(const DelegationReturn& written, Version version) {
-  if (!delegatedTasks_.committed(written, version)) return;
+void ShardScheduler::handleCommittedReturn(const DelegationReturn& written) {
+  if (!delegatedTasks_.committed(written)) return;
   failures_.forget(written.job);
   state_.removeJob(written.job);
+  takeUpLaterRecord(written.job);
 }
 
 // Whether a cancellation may have been confirmed to a user without being known here. The owner of a delegated
--- a/src/scheduler/task_delegation_owner.cpp
+++ b/src/scheduler/task_delegation_owner.cpp
@@ -30,7 +30,7 @@
   for (Job* job : oldestUnschedulableJobs(RemotePlacement::Delegation, now)) {
     if (isMigrationPlanned(job->id) || taskDelegation_.planned(job->id)) continue;
     bool splitGang = job->isGang() && job->remote > 0;
-    if (splitGang) planRecall(*job);  // this shard's members found no capacity after all
+    if (splitGang) taskDelegation_.planRecall(*job);  // this shard's members found no capacity after all
     if (splitGang || planDelegations(*job, now))
       requestPlacementRound(false);
     else
--- a/tests/unit/delegated_tasks_test.cpp
+++ b/tests/unit/delegated_tasks_test.cpp
@@ -44,7 +44,7 @@
   ShardState state_{settings_};
   ClusterView view_;
   DelegatedTasks delegated_{
-      settings_, view_, state_, kDelegate,
+      settings_, view_, state_,
       std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::null_sink_st>())};
 };
 
@@ -71,13 +71,10 @@
   EXPECT_TRUE(addReturns(kNow + kReturnUnplacedAfter).empty());
 }
 
-// If the delegation were accepted again, two shards would place the job's tasks.
-TEST_F(DelegatedTasksTest, CompletelyReturnedJobIsNotAcceptedFromLaggingView) {
+TEST_F(DelegatedTasksTest, NothingIsLeftOfACompletelyReturnedJob) {
   auto returns = addReturns(kNow + kReturnUnplacedAfter);
-  EXPECT_TRUE(delegated_.committed(returns.front(), Version{9}));
+  EXPECT_TRUE(delegated_.committed(returns.front()));
   EXPECT_TRUE(delegated_.none());
-  EXPECT_TRUE(delegated_.wasReturnedAfter(kJob, Version{8}));
-  EXPECT_FALSE(delegated_.wasReturnedAfter(kJob, Version{9}));
 }
 
 }  // namespace
--- a/tests/unit/group_commit_test.cpp
+++ b/tests/unit/group_commit_test.cpp
@@ -14,7 +14,7 @@
 using Outcome = TransactionResult::Outcome;
 
 struct GroupCommitTest : RequestQueueFixture {
-  KeyValueClient client{queue, counters};
+  KeyValueClient client{queue, counters, [](const wire::KeyChange&) {}};
   GroupCommit commits{settings, runtime, client, limiter, counters};
   std::map<std::string, std::vector<Outcome>> results;
 
--- a/tests/unit/key_value_client_test.cpp
+++ b/tests/unit/key_value_client_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 struct KeyValueClientTest : RequestQueueFixture {
-  KeyValueClient client{queue, counters};
+  KeyValueClient client{queue, counters, [](const wire::KeyChange&) {}};
 
   TransactionResult transact(const wire::Transaction& transaction, const HttpResult& answer) {
     TransactionResult received;
--- a/tests/unit/task_delegation_test.cpp
+++ b/tests/unit/task_delegation_test.cpp
@@ -39,14 +39,19 @@
   std::uint32_t plan(std::uint32_t offered, std::uint32_t maxTasks = kTasks) {
     return delegation_.plan(job(), {kDelegate, Zone{"a"}, offered, Time{}}, maxTasks);
   }
-  std::vector<DelegationWrite> addPlanned() {
+  // Returns how many records were added to the transaction.
+  std::size_t addPlanned() {
     TransactionBuilder transaction(settings_.txnOps);
-    return delegation_.addPlanned(transaction);
+    delegation_.addPlanned(transaction);
+    return transaction.writes();
   }
-  // Delegates the first tasks and reports the commit.
+  // Delegates the first tasks; the view shows the commit.
   void delegateTasks(std::uint32_t count) {
     plan(count);
-    delegation_.committed(addPlanned().front(), Version{8});
+    EXPECT_EQ(addPlanned(), 1U);
+    shown().version = Version{8};
+    shown().delegations = job().delegations;
+    EXPECT_FALSE(delegation_.applyReturns(job(), shown())->any());
   }
 
   Settings settings_ = parseSettings(world::Deployment{}.settingsJson(0), {});
@@ -86,14 +91,14 @@
 TEST_F(TaskDelegationTest, NothingIsWrittenWhileTheViewLags) {
   plan(2);
   shown().version = Version{6};
-  EXPECT_TRUE(addPlanned().empty());
+  EXPECT_EQ(addPlanned(), 0U);
   EXPECT_EQ(waiting(), (Tasks{0, 1, 2, 3}));
 }
 
 TEST_F(TaskDelegationTest, RecallThatCannotBeWrittenStaysPlanned) {
   delegation_.planRecall(job());
   shown().version = Version{6};
-  EXPECT_TRUE(addPlanned().empty());
+  EXPECT_EQ(addPlanned(), 0U);
   EXPECT_TRUE(delegation_.planned(kJob));
 }
 
@@ -109,6 +114,17 @@
   EXPECT_EQ(job().tasks[2].state, TaskState::Remote);
 }
 
+// The watch may skip the version that delegated the tasks, and the answer to its commit may come later still.
+TEST_F(TaskDelegationTest, TasksReturnedBeforeTheirDelegationWasSeenAreRequeued) {
+  plan(2);
+  ASSERT_EQ(addPlanned(), 1U);
+  shown().version = Version{9};
+  auto returned = delegation_.applyReturns(job(), shown());
+  ASSERT_TRUE(returned);
+  EXPECT_EQ(returned->unfinished, (Tasks{0, 1}));
+  EXPECT_EQ(job().remote, 0U);
+}
+
 TEST_F(TaskDelegationTest, RecordThatIsNotNewerChangesNothing) {
   delegateTasks(3);
   EXPECT_FALSE(delegation_.applyReturns(job(), shown()));
--- a/tests/unit/watch_cache_test.cpp
+++ b/tests/unit/watch_cache_test.cpp
@@ -45,6 +45,14 @@
     });
     runtime.answer(0, R"({"entries":[)" + entries + R"(],"truncated":false,"ledger_rev":4})");
   }
+  // Sends a transaction with one write; `answered` is called once it is known to be committed.
+  void commit(const wire::Write& write, std::function<void()> answered) {
+    store.transact(RequestPriority::Commit, {{}, {write}}, Duration{1000},
+                   [answered = std::move(answered)](const TransactionResult& result) {
+                     EXPECT_TRUE(result.committed());
+                     answered();
+                   });
+  }
 };
 
 }  // namespace
@@ -73,3 +81,47 @@
   runtime.answer(3, R"({"entries":[],"truncated":false,"ledger_rev":8})");
   EXPECT_EQ(knownKeys.size(), 1U);
 }
+
+// An own commit, answered before the watch reports it, is applied with its answer (read-your-writes).
+TEST_F(WatchCacheTest, OwnCommitIsAppliedBeforeItsCallerLearnsOfIt) {
+  begin("");
+  bool seenByCaller = false;
+  commit({"node/x", "{}", {}}, [&] { seenByCaller = knownKeys.count("node/x") > 0; });
+  runtime.answer(2, R"({"ledger_rev":7})");
+  EXPECT_TRUE(seenByCaller);
+}
+
+TEST_F(WatchCacheTest, OlderChangesDoNotUndoAnOwnDeletion) {
+  begin(R"({"path":"node/x","value":{},"stamp":3})");
+  commit({"node/x", std::nullopt, {}}, [] {});
+  runtime.answer(2, R"({"ledger_rev":7})");
+  EXPECT_TRUE(knownKeys.empty());
+  runtime.answer(1, R"({"ledger_rev":6,"news":[{"write":"node/x","value":{},"stamp":6}]})");
+  EXPECT_TRUE(knownKeys.empty());
+  // Another controller creates the key anew.
+  runtime.answer(3, R"({"ledger_rev":9,"news":[{"drop":"node/x","stamp":7},)"
+                    R"({"write":"node/x","value":{},"stamp":9}]})");
+  EXPECT_EQ(knownKeys.size(), 1U);
+}
+
+TEST_F(WatchCacheTest, ListOlderThanAnOwnCommitDoesNotUndoIt) {
+  begin(R"({"path":"node/y","value":{},"stamp":3})");
+  auto tooOld = runtime.calls.at(1).done;
+  tooOld({HttpResult::Outcome::Answered, {410, "{}", false, 0}});
+  commit({"node/x", "{}", {}}, [] {});
+  commit({"node/y", std::nullopt, {}}, [] {});
+  runtime.answer(3, R"({"ledger_rev":9})");
+  runtime.answer(4, R"({"ledger_rev":10})");
+  runtime.answer(2,
+                 R"({"entries":[{"path":"node/y","value":{},"stamp":3}],"truncated":false,"ledger_rev":8})");
+  EXPECT_EQ(knownKeys, std::set<std::string>{"node/x"});
+}
+
+TEST_F(WatchCacheTest, AnswerToACommitThatTheWatchOvertookChangesNothing) {
+  begin("");
+  commit({"node/x", "{}", {}}, [] {});
+  runtime.answer(
+      1, R"({"ledger_rev":8,"news":[{"write":"node/x","value":{},"stamp":7},{"drop":"node/x","stamp":8}]})");
+  runtime.answer(2, R"({"ledger_rev":7})");
+  EXPECT_TRUE(knownKeys.empty());
+}
--- a/tests/world/intensive_polling.cpp
+++ b/tests/world/intensive_polling.cpp
@@ -21,6 +21,13 @@
     }
 }
 
+void World::pollContinuously(const std::string& id, Ms interval, Ms until, unsigned node) {
+  if (clock.now() >= until) return;
+  poll(id, false, node);
+  auto next = (node + 1) % static_cast<unsigned>(controllers.size());
+  clock.after(interval, [this, id, interval, until, next] { pollContinuously(id, interval, until, next); });
+}
+
 void World::pollOrResubmit(const std::string& id, unsigned node, bool resubmits) {
   if (resubmits)
     resubmit(id, node);
--- a/tests/world/scenario_user_actions.cpp
+++ b/tests/world/scenario_user_actions.cpp
@@ -35,6 +35,11 @@
   for (unsigned i = 0; i < context.line.number(4); ++i) context.world.queryOnce(jobIdOf(first + i));
 }
 
+// poll-continuously JOB EVERY FOR
+void pollContinuously(Context context) {
+  context.world.pollContinuously(context.line.jobId(3), context.line.duration(4), context.until(5));
+}
+
 // on-completion FIRST COUNT cancel|resubmit|poll WITHIN
 void onCompletion(Context context) {
   auto first = context.line.count(3);
@@ -85,6 +90,7 @@
       {"cancel", {[](Context c) { c.world.cancel(c.line.jobId(3)); }}},
       {"query", {[](Context c) { c.world.queryOnce(c.line.jobId(3)); }}},
       {"query-many", {queryMany}},
+      {"poll-continuously", {pollContinuously}},
       {"check-health", {[](Context c) { c.world.checkHealth(c.line.count(3)); }}},
       {"on-completion", {onCompletion}},
       {"submit-stream", {submitStream}},
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -97,6 +97,8 @@
   // Repeats the full submission of a known job.
   void resubmit(const std::string& id, Node node = {});
   void poll(const std::string& id, bool again = true, Node node = {});
+  // Until then one query about the job per interval, to each controller in turn, beginning with that one.
+  void pollContinuously(const std::string& id, Ms interval, Ms until, unsigned node = 0);
   // The user action after the job's last task ends, at a random time within `within`.
   void onCompletion(const std::string& id, const std::string& what, Ms within) {
     completionActions_[id].push_back({what, within});
