--- a/src/cluster/cluster_view.cpp
+++ b/src/cluster/cluster_view.cpp
@@ -47,16 +47,17 @@
   auto& job = jobs[id];
   if (job.version > change.version) return;
   job.version = change.version;
+  // A terminal status is final. It may have been reported before this record, or one older than it, arrived.
+  if (job.status == JobStatus::Open) job.status = record->status;
+  if (record->status != JobStatus::Open) job.endVersion = change.version;
   job.maxConcurrent = record->maxConcurrent;
-  // A terminal status is final. It may have been reported before the job's record arrived.
-  if (job.status != JobStatus::Open) return;
-  job.status = record->status;
   job.shard = record->shard;
   job.tasks = record->tasks;
   job.submitted = record->submitted;
   job.delegations = std::move(record->delegations);
   job.doneRemotely = std::move(record->doneRemotely);
-  job.spec = record->spec ? std::make_shared<const JobSpec>(std::move(*record->spec)) : nullptr;
+  bool needsSpec = record->spec && job.status != JobStatus::Done;
+  job.spec = needsSpec ? std::make_shared<const JobSpec>(std::move(*record->spec)) : nullptr;
 }
 
 // Machines are added, updated and removed with their group. A machine that moved appears in its new group
@@ -182,19 +183,14 @@
   return stops;
 }
 
-void ClusterView::jobEnded(const JobId& id, JobStatus status, Version version) {
+void ClusterView::jobEnded(const JobId& id, JobStatus status, Version endVersion) {
   auto entry = jobs.find(id);
-  if (entry == jobs.end()) return;
+  if (entry == jobs.end() || entry->second.status != JobStatus::Open) return;
   auto& job = entry->second;
-  if (job.status != JobStatus::Open || job.version > version) return;
   job.status = status;
-  job.version = version;
+  job.endVersion = endVersion;
   // A cancelled job keeps its specification, which is needed to stop its remaining tasks.
   if (status == JobStatus::Done) job.spec.reset();
 }
 
-void ClusterView::jobEnded(const JobId& id, JobStatus status) {
-  if (auto entry = jobs.find(id); entry != jobs.end()) jobEnded(id, status, entry->second.version);
-}
-
 }  // namespace cherryloft
--- a/src/cluster/cluster_view.h
+++ b/src/cluster/cluster_view.h
@@ -23,7 +23,8 @@
   ShardId shard;
   std::uint32_t tasks = 0;
   WallTime submitted;
-  Version version;                      // of its record, or of the job's end if that was reported first
+  Version version;     // of its record, by which records are compared
+  Version endVersion;  // of the commit that ended it, as far as it is known; may be ahead of the record's
   std::shared_ptr<const JobSpec> spec;  // null once the job is done
   // Set for a job that runs in another shard than its team's (invariant 17, wire::JobRecord).
   std::optional<std::uint32_t> maxConcurrent{};
@@ -74,10 +75,10 @@
   [[nodiscard]] std::vector<wire::Command> stopCommandsForCancelled(
       const wire::WorkerHeartbeat& heartbeat) const;
 
-  // Records that a job ended, as reported by its owner to a user, before the job record shows it.
-  void jobEnded(const JobId& id, JobStatus status);
-  // The same, as reported by a message of the shard's owner with the version of the commit.
-  void jobEnded(const JobId& id, JobStatus status, Version version);
+  // Records that a job ended, as reported by its owner before the job's record shows it; endVersion is the
+  // version of the commit, 0 if the report did not name it. Everything else about the job comes from its
+  // record alone.
+  void jobEnded(const JobId& id, JobStatus status, Version endVersion = {});
 
   // The machine group's record rebuilt from the view, to be modified and rewritten; empty if unknown.
   [[nodiscard]] wire::MachineGroupRecord group(const std::string& key) const;
--- a/src/scheduler/commits.cpp
+++ b/src/scheduler/commits.cpp
@@ -270,7 +270,6 @@
   callbacks_.jobEnded(write.job, write.status, revision);
   runCancelCallbacks(*job, write.status);
   if (write.status == JobStatus::Cancelled) {
-    lastCancellationVersion_ = std::max(lastCancellationVersion_, revision);
     job->waiting.clear();
     stopTasks(*job, machinesToCommand);
   }
--- a/src/scheduler/shard_scheduler.cpp
+++ b/src/scheduler/shard_scheduler.cpp
@@ -70,19 +70,21 @@
 }
 
 void ShardScheduler::addKnownJob(const JobId& id, const JobEntry& entry) {
-  if (entry.shard == takeover_.shard && entry.status == JobStatus::Open && entry.spec)
+  bool ours = entry.shard == takeover_.shard;
+  const auto* delegation = ours ? nullptr : findDelegation(entry.delegations, takeover_.shard);
+  bool open = entry.status == JobStatus::Open && entry.spec;
+  if (ours && open)
     state_.addJob(id, entry).since = runtime_.now();
-  else if (entry.shard == takeover_.shard && entry.status == JobStatus::Cancelled)
-    lastCancellationVersion_ = std::max(lastCancellationVersion_, entry.version);
-  else if (const auto* delegation = findDelegation(entry.delegations, takeover_.shard))
-    restoreDelegation(id, entry, *delegation);
+  else if (delegation && open)
+    acceptDelegation(id, entry, *delegation);
+  else if (ours || delegation)
+    noteCancellation(entry);
 }
 
-void ShardScheduler::restoreDelegation(const JobId& id, const JobEntry& entry, const Delegation& delegation) {
-  if (entry.status == JobStatus::Open && entry.spec)
-    acceptDelegation(id, entry, delegation);
-  else if (entry.status == JobStatus::Cancelled)
-    lastCancellationVersion_ = std::max(lastCancellationVersion_, entry.version);
+// Keep-alive proxies must have seen every cancellation that affects the shard's machines (invariant 15).
+void ShardScheduler::noteCancellation(const JobEntry& entry) {
+  if (entry.status == JobStatus::Cancelled)
+    lastCancellationVersion_ = std::max(lastCancellationVersion_, entry.endVersion);
 }
 
 // Resumes a job after its placements were restored.
@@ -128,10 +130,7 @@
   auto found = view_.jobs.find(id);
   if (found == view_.jobs.end()) return;
   if (found->second.shard != takeover_.shard) return handleDelegatedJobChange(id, found->second);
-  // This may be our own commit, seen before its response; keep-alive proxies must have seen it, too
-  // (invariant 15).
-  if (found->second.status == JobStatus::Cancelled)
-    lastCancellationVersion_ = std::max(lastCancellationVersion_, found->second.version);
+  noteCancellation(found->second);
   if (Job* job = state_.job(id)) return handleOwnedJobChange(*job, found->second);
   const auto& entry = found->second;
   if (entry.status != JobStatus::Open || !entry.spec) return;
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -111,7 +111,7 @@
   // Loading (invariant 7).
   void finishLoading(const ListResult& placementPages);
   void addKnownJob(const JobId& id, const JobEntry& entry);
-  void restoreDelegation(const JobId& id, const JobEntry& entry, const Delegation& delegation);
+  void noteCancellation(const JobEntry& entry);
   void resumeJob(Job& job);
   void cleanUpCancelled();
   Machine& addOwnedMachine(const MachineId& id, const MachineEntry& entry);
--- a/src/scheduler/task_delegation_delegate.cpp
+++ b/src/scheduler/task_delegation_delegate.cpp
@@ -52,6 +52,8 @@
 void ShardScheduler::handleDelegatedJobChange(const JobId& id, const JobEntry& entry) {
   const auto* delegation = findDelegation(entry.delegations, takeover_.shard);
   Job* job = state_.job(id);
+  // The owner may have told of the cancellation before its record shows which version that has.
+  if (delegation || (job && job->delegation)) noteCancellation(entry);
   if (!job) {
     if (!delegation || entry.status != JobStatus::Open || !entry.spec) return;
     acceptDelegation(id, entry, *delegation);
@@ -61,7 +63,6 @@
   if (!job->delegation || job->status != JobStatus::Open) return;
   job->version = std::max(job->version, entry.version);
   if (entry.status == JobStatus::Cancelled) {
-    lastCancellationVersion_ = std::max(lastCancellationVersion_, entry.version);
     cancelDelegatedTasks(*job);
   } else if (delegation && delegation->recalled) {
     handleDelegationRecall(*job);
