Fix: the leader records no machine twice beside its own late transaction

Cause: a creation is conditioned on the version of share/groups, and sent once shards and then machines have caught up. But the version was taken when the transaction was built; meanwhile the watch of share/ may have shown the late transaction, and the watch of host/ not yet the groups that it created.

Fix: the version is taken when the shards have caught up, before the machines do, so all groups up to it are in view; a late transaction makes the next one conflict.

--- a/src/autoscaler/machine_records.cpp
+++ b/src/autoscaler/machine_records.cpp
@@ -27,6 +27,9 @@
   };
   context_.store.waitUntilCurrent(keys::kShards, [this, onCaughtUp](CatchUpResult result) {
     if (result != CatchUpResult::Current) return onCaughtUp(result);
+    // The groups up to this version are visible once the machines have caught up as well. The view may show a
+    // later version, by a delayed transaction, before the groups that it created.
+    visibleGroupsVersion_ = context_.clusterView.groupsVersion;
     context_.store.waitUntilCurrent(keys::kMachines, onCaughtUp);
   });
 }
@@ -68,7 +71,7 @@
   const auto& settings = context_.settings;
   wire::Transaction transaction;
   transaction.conditions[keys::kLeader] = leader->version;
-  transaction.conditions[keys::kGroups] = context_.clusterView.groupsVersion;
+  transaction.conditions[keys::kGroups] = visibleGroupsVersion_;
   transaction.operations.push_back({keys::kGroups, wire::encodeEpochCounter(leader->record.epoch), {}});
   std::size_t estimatedBytes = 0;
   while (!queue_.empty() && transaction.operations.size() < settings.txnOps &&
--- a/src/autoscaler/machine_records.h
+++ b/src/autoscaler/machine_records.h
@@ -39,6 +39,7 @@
   const AutoscalerContext& context_;
   WasReturned wasReturned_;
   bool viewCurrent_ = false;
+  Version visibleGroupsVersion_;  // the view shows every group created up to this version
   std::deque<wire::MachineGroupRecord> queue_;
   std::set<MachineId> inFlight_;  // machines of the groups sent, until the outcome is visible in the view
   std::set<MachineId> pending_;   // those in flight and those still queued
