Stand-in: a gang hears of a member that fails

Cause, by the trace: random faults failed the gang's members at 224.2 s, and Worker::failTasksOf did not tell the rendezvous, which let the gang's progress run on and took it for done at 226.6 s. The members of the next attempt then ended with done at once, as the protocol has it for a gang that is done. Nothing is wrong with the product: one member with done makes a gang done.

Mend: members that fail leave their gang, as those that end in any other way.

--- a/tests/world/worker.cpp
+++ b/tests/world/worker.cpp
@@ -224,7 +224,10 @@
   std::vector<TaskKey> running;
   for (const auto& [k, held] : tasks_)
     if (k.first == job && held.state == "running") running.push_back(k);
-  for (const auto& k : running) end(k, "error");
+  for (const auto& k : running) {
+    notifyGangOfExit(k, tasks_.at(k));
+    end(k, "error");
+  }
 }
 
 // A running task with checkpoints saves its progress if the grace period allows; a second kill without a
