--- a/src/scheduler/command_fence.cpp
+++ b/src/scheduler/command_fence.cpp
@@ -30,18 +30,6 @@
   return hasAcceptedHeartbeat && heartbeat.incarnation > latestPosition_.incarnation;
 }
 
-bool CommandFence::mayForget(const TaskAttempt& attempt) const {
-  auto start = directStarts_.find(attempt);
-  return noCommandInDoubt() && (start == directStarts_.end() || start->second < token());
-}
-
-bool CommandFence::mayStart(const TaskAttempt& attempt) const {
-  for (auto start = directStarts_.lower_bound({attempt.task, Attempt{0}});
-       start != directStarts_.end() && start->first.task == attempt.task; ++start)
-    if (start->first.attempt != attempt.attempt && start->second >= token()) return false;
-  return true;
-}
-
 void CommandFence::raiseBaseToken(FencingToken token) {
   if (token <= baseToken_) return;
   baseToken_ = token;
@@ -54,37 +42,21 @@
 }
 
 void CommandFence::accept(const wire::WorkerHeartbeat& heartbeat) {
-  // Direct commands name the incarnation that they are meant for.
-  if (startsNewIncarnation(heartbeat)) directStarts_.clear();
   latestPosition_ = positionOf(heartbeat);
+  // Direct commands name the incarnation that they are meant for.
   expectedIncarnation_ = heartbeat.incarnation;
-  if (heartbeat.token > highestTokenSeen_) {
-    highestTokenSeen_ = heartbeat.token;
-    std::erase_if(directStarts_, [&](const auto& start) { return start.second < highestTokenSeen_; });
-  }
-  if (noCommandInDoubt()) commandInDoubt_.reset();
-}
-
-bool CommandFence::raiseToken() {
-  if (tokensExhausted()) return false;
-  ++tokenGeneration_;
-  return true;
-}
-
-void CommandFence::advanceToken() {
-  commandInDoubt_ = token();
-  raiseToken();
+  highestTokenSeen_ = std::max(highestTokenSeen_, heartbeat.token);
+  if (acknowledged()) unacknowledgedToken_.reset();
 }
 
-void CommandFence::recordUnansweredCommand(FencingToken commandToken) {
-  commandInDoubt_ = commandToken;
-  raiseToken();
+void CommandFence::requireAcknowledgement() {
+  unacknowledgedToken_ = token();
+  if (!tokensExhausted()) ++tokenGeneration_;
 }
 
 void CommandFence::expireIncarnation() {
   expiredIncarnation_ = latestPosition_.incarnation;
-  commandInDoubt_.reset();
-  directStarts_.clear();
+  unacknowledgedToken_.reset();
 }
 
 void CommandFence::resetForRestartedWorker(const wire::WorkerHeartbeat& answer) {
@@ -92,7 +64,7 @@
   expectedIncarnation_ = answer.incarnation;
   highestTokenSeen_ = answer.token;
   expiredIncarnation_ = Incarnation{};
-  advanceToken();
+  requireAcknowledgement();
 }
 
 }  // namespace cherryloft
--- a/src/scheduler/command_fence.h
+++ b/src/scheduler/command_fence.h
@@ -1,5 +1,5 @@
-// Fencing for one worker's agent: decides which heartbeats are current, and which commands may still take
-// effect. Does no I/O and reads no clock.
+// Fencing for one worker's agent: decides which heartbeats are current, and whether the worker is known to
+// hear its owner. Does no I/O and reads no clock.
 //
 // Messages between a controller and a worker may be delayed for minutes or delivered twice, a worker may
 // restart, and a former owner of the shard may still be sending. Three orders resolve this:
@@ -11,33 +11,27 @@
 //                        kills all its tasks. A direct command names the incarnation it is meant for.
 //   sequence number      Assigned by the worker: counts its heartbeats within an incarnation.
 //
-// States of the fence with respect to unacknowledged commands:
+// Direct commands start no task (invariant 3), so one that arrives late can only stop what is to be stopped
+// anyway. A worker that may not hear its owner, or a new agent process, has to show a higher token before it
+// gets new work:
 //
-//        recordUnansweredCommand(), advanceToken()
+//                    requireAcknowledgement()
 //     +-----------------------------------------------+
 //     |                                               v
-//   noCommandInDoubt                            commandInDoubt
+//   acknowledged                            awaiting acknowledgement
 //     ^                                               |
 //     +-----------------------------------------------+
-//        a heartbeat carries a token above the one in doubt, or the incarnation that the command named has
-//        ended
-//
-// A direct command that was carried out and answered may be delivered once more, too. As long as the worker
-// holds the attempts that it started, in any state, the copy does nothing; once they are forgotten, it starts
-// them again unless the worker has seen a higher token. So the fence records under which token an attempt was
-// started directly, until the worker has seen a higher one; it may be forgotten only under a higher one.
+//        a heartbeat carries a token above the one at that time, or the incarnation has ended
 //
 // The invariant numbers refer to docs/DESIGN.md.
 #pragma once
 
 #include <compare>
 #include <cstdint>
-#include <map>
 #include <optional>
 
 #include "base/fencing_token.h"
 #include "base/types.h"
-#include "scheduler/task_attempt.h"
 #include "wire/workers.h"
 
 namespace cherryloft {
@@ -67,22 +61,11 @@
   // The incarnation that commands name until a heartbeat has been accepted.
   [[nodiscard]] Incarnation expectedIncarnation() const { return expectedIncarnation_; }
 
-  // True if every command sent so far either has a known effect or can no longer take effect (invariant 3).
-  [[nodiscard]] bool noCommandInDoubt() const {
-    return !commandInDoubt_ || highestTokenSeen_ > *commandInDoubt_;
+  // Whether the worker has shown that it received the token that it was last required to acknowledge.
+  [[nodiscard]] bool acknowledged() const {
+    return !unacknowledgedToken_ || highestTokenSeen_ > *unacknowledgedToken_;
   }
 
-  // Whether the worker may still accept a direct command that starts the attempt, or a copy of one (invariant
-  // 3). It does nothing as long as the worker holds the attempt.
-  [[nodiscard]] bool directStartMayArrive(const TaskAttempt& attempt) const {
-    return directStarts_.count(attempt) > 0;
-  }
-  // Whether a command under the current token may make the worker forget the exited attempt: after it, no
-  // direct command can start the attempt again.
-  [[nodiscard]] bool mayForget(const TaskAttempt& attempt) const;
-  // Whether a command under the current token may start the task: it may make the worker drop an exited
-  // attempt of the same task, which no direct command may start again afterwards either.
-  [[nodiscard]] bool mayStart(const TaskAttempt& attempt) const;
   // The tokens of the epoch are used up: the owner needs a new epoch before it can raise the token again.
   [[nodiscard]] bool tokensExhausted() const { return tokenGeneration_ + 1 >= generations_; }
 
@@ -111,37 +94,23 @@
   void raiseExpectedIncarnation(Incarnation incarnation);
   // Records a heartbeat for which isNewer() holds.
   void accept(const wire::WorkerHeartbeat& heartbeat);
-  // A direct command under the current token starts the attempt.
-  void recordDirectStart(const TaskAttempt& attempt) { directStarts_[attempt] = token(); }
-  // The only direct command that starts the attempt was certainly not sent.
-  void eraseUnsentStart(const TaskAttempt& attempt) { directStarts_.erase(attempt); }
-  // Raises the token, so that all exited attempts may be forgotten under it. Unlike after advanceToken(),
-  // nothing is in doubt: the command to forget carries the new token itself. Returns false, without effect,
-  // if the tokens are exhausted.
-  bool raiseToken();
-  // Commands sent under the current token have no effect once the worker has seen the next token.
-  void advanceToken();
-  // A command sent under that token was not answered: it may still be executed minutes later.
-  void recordUnansweredCommand(FencingToken commandToken);
-  // The incarnation named by the command in doubt has ended, so the command has no effect (invariant 2).
-  void clearCommandInDoubt() { commandInDoubt_.reset(); }
+  // Raises the token, and requires the worker to acknowledge one above the former.
+  void requireAcknowledgement();
+  // The incarnation that had to acknowledge has ended (invariant 2).
+  void clearRequiredAcknowledgement() { unacknowledgedToken_.reset(); }
   // The worker's lease has expired: further heartbeats of the current incarnation are ignored.
   void expireIncarnation();
   // A new agent process, whose counters start at one again, answered a probe; `answer` is accepted next.
-  // Start commands in flight to the old process may reach the new one, so the token is advanced
-  // (invariant 3).
+  // Heartbeats of the old process, and direct starts by an owner of a former version, may still arrive, so
+  // the new one has to acknowledge a higher token.
   void resetForRestartedWorker(const wire::WorkerHeartbeat& answer);
 
  private:
   FencingToken baseToken_;
   std::uint64_t generations_;
   std::uint64_t tokenGeneration_ = 0;
-  // Attempts that direct commands started in the current incarnation, with the latest token of such a
-  // command, unless the worker has seen a higher one.
-  std::map<TaskAttempt, FencingToken> directStarts_;
-  FencingToken highestTokenSeen_;  // highest token carried by an accepted heartbeat
-  // Direct commands with tokens up to this one may still arrive, until the worker acknowledges a higher one.
-  std::optional<FencingToken> commandInDoubt_;
+  FencingToken highestTokenSeen_;                    // highest token carried by an accepted heartbeat
+  std::optional<FencingToken> unacknowledgedToken_;  // the worker has to acknowledge a higher one
   HeartbeatPosition latestPosition_;
   Incarnation expiredIncarnation_;
   Incarnation expectedIncarnation_{1};  // workers number incarnations from 1
--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -1,5 +1,6 @@
 // Commands to workers: which commands are due, and how they are sent, either in heartbeat answers or as
-// direct requests.
+// direct requests. Tasks are started by answers alone, which are never executed late; where a start is due, a
+// direct command makes the worker send a heartbeat (invariant 3).
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -14,10 +15,12 @@
 constexpr Duration kDirectCommandTimeout{2'000};
 // Delays before the next direct command to a machine, after one that was ...
 constexpr Duration kBackoffNotSent{1'000};     // ... not sent
-constexpr Duration kBackoffUnanswered{2'000};  // ... sent but not answered, so that its effect is unknown
+constexpr Duration kBackoffUnanswered{2'000};  // ... sent but not answered
 // ... not answered, where only the machine's heartbeats get through
 constexpr Duration kBackoffUnreachable{10'000};
 constexpr Duration kStopRetryInterval{1'500};  // of direct commands; every heartbeat answer repeats a stop
+// A worker reports a change of its tasks within this time, which includes the way here.
+constexpr Duration kChangeReportedWithin = wire::kMinReportInterval + Duration{100};
 // How much longer than its job specifies a checkpoint may take.
 constexpr double kCheckpointGraceMarginSeconds = 1;
 // Added to twice the job's checkpoint time to get the time after which a stop no longer waits for a
@@ -83,14 +86,14 @@
   std::vector<Command> commands;
   if (!machine.registered) return commands;
   auto now = runtime_.now();
-  if (!machine.commandInFlight) raiseTokenForRestarts(machine);
+  machine.heartbeatExpectedUntil = now;
   for (auto& [task, placement] : machine.placements) {
     if (commands.size() >= kMaxCommands) break;
     if (placement.awaitsStart()) {
-      // A direct command in flight may already carry the start.
-      if (machine.commandInFlight || !mayStart(*placement.job)) continue;
-      if (!machine.fence.mayStart({task, placement.attempt})) continue;
+      if (!mayStart(*placement.job)) continue;
       commands.push_back(startCommand(task, placement));
+      // A task that is new to the worker is reported soon.
+      if (!placement.startSent) machine.heartbeatExpectedUntil = now + kChangeReportedWithin;
       placement.startSent = true;
       placement.startSentWith = heartbeat.sequence;
     } else if (placement.awaitsStop()) {
@@ -98,43 +101,41 @@
       if (placement.stopSent == Time{}) placement.stopSent = now;
     }
   }
-  unplacedTasks_.addCommands(machine, commands, kMaxCommands, now);
+  unplacedTasks_.addCommands(machine, commands, kMaxCommands);
   commandAudit_.commandsSent(machine, CommandRoute::HeartbeatAnswer, commands, leaseLeft());
   return commands;
 }
 
-// If a task is to start where an earlier attempt of it was started directly, the command carries a higher
-// token.
-void ShardScheduler::raiseTokenForRestarts(Machine& machine) {
-  bool needed = std::any_of(machine.placements.begin(), machine.placements.end(), [&](const auto& entry) {
-    const auto& [task, placement] = entry;
-    return placement.awaitsStart() && !machine.fence.mayStart({task, placement.attempt});
-  });
-  if (needed && machine.fence.raiseToken())
-    commandAudit_.tokenRaised(machine, TokenRaiseReason::TaskRestarts);
-}
-
 std::vector<Command> ShardScheduler::takeDirectCommands(Machine& machine) {
   std::vector<Command> commands;
   if (!machine.registered) return commands;
   auto now = runtime_.now();
-  raiseTokenForRestarts(machine);
   for (auto& [task, placement] : machine.placements) {
     if (commands.size() >= kMaxCommands) break;
-    if (placement.awaitsStart()) {
-      if (placement.startSent || !mayStart(*placement.job)) continue;
-      if (!machine.fence.mayStart({task, placement.attempt})) continue;
-      commands.push_back(startCommand(task, placement));
-      placement.startSent = true;
-    } else if (placement.awaitsStop()) {
-      if (now - placement.stopSent < kStopRetryInterval) continue;
-      commands.push_back(stopCommandFor(task, placement, now));
-      placement.stopSent = now;
-    }
+    if (!placement.awaitsStop() || now - placement.stopSent < kStopRetryInterval) continue;
+    commands.push_back(stopCommandFor(task, placement, now));
+    placement.stopSent = now;
+  }
+  // Until the next heartbeat is accepted the attempt stays the same, so that repeating it changes nothing.
+  if (wakeUpDue(machine)) {
+    commands.push_back(wire::wakeUpCommand(Attempt{machine.fence.latestPosition().sequence.value}));
+    machine.heartbeatExpectedUntil = now + kChangeReportedWithin;
   }
   return commands;
 }
 
+// Whether a start waits for a heartbeat that is not expected soon anyway.
+bool ShardScheduler::wakeUpDue(Machine& machine) const {
+  bool startDue = std::any_of(machine.placements.begin(), machine.placements.end(), [](const auto& entry) {
+    const auto& placement = entry.second;
+    return placement.awaitsStart() && !placement.startSent && mayStart(*placement.job);
+  });
+  if (!startDue) return false;
+  bool heartbeatExpected = runtime_.now() < machine.heartbeatExpectedUntil;
+  if (heartbeatExpected) machine.directCommandDue = true;  // in case that it does not come
+  return !heartbeatExpected;
+}
+
 // --- direct commands ---
 
 void ShardScheduler::sendCommands(Machine& machine) {
@@ -143,27 +144,21 @@
     machine.followUpCommandDue = true;
     return;
   }
-  if (runtime_.now() < machine.nextCommandNotBefore || machine.address.empty()) return;
+  if (runtime_.now() < machine.nextCommandNotBefore) return;
+  auto worker = addressOf(machine);
+  if (!worker) return;
+  if (directCommandsInFlight_ >= maxDirectCommandsInFlight()) return queueForDirectCommand(machine);
   auto commands = takeDirectCommands(machine);
   bool isProbe = commands.empty();
   if (isProbe && (!probeDue(machine) || probesInFlight_ >= kMaxProbesInFlight)) return;
-  if (directCommandsInFlight_ >= maxDirectCommandsInFlight()) {
-    machine.directCommandDue = true;
-    return;
-  }
-  auto worker = addressOf(machine);
-  if (!worker) return;
   commandAudit_.commandsSent(machine, CommandRoute::Direct, commands, leaseLeft());
   machine.commandInFlight = true;
   machine.followUpCommandDue = false;
   ++directCommandsInFlight_;
   if (isProbe) ++probesInFlight_;
   auto incarnation = machine.registered ? machine.fence.incarnation() : machine.fence.expectedIncarnation();
-  DirectCommand sent{machine.token(), incarnation, machine.fence.latestPosition(), isProbe, {}};
-  for (const auto& command : commands)
-    if (command.verb == Command::Verb::Start) sent.starts.push_back({command.task, command.attempt});
-  for (const auto& attempt : sent.starts) machine.fence.recordDirectStart(attempt);
-  auto body = wire::encodeCommands(sent.token, sent.incarnation, commands);
+  DirectCommand sent{incarnation, machine.fence.latestPosition(), isProbe};
+  auto body = wire::encodeCommands(machine.token(), sent.incarnation, commands);
   runtime_.call(*worker, {"POST", "/commands", std::move(body), false}, kDirectCommandTimeout,
                 guarded([this, id = machine.id, sent](const HttpResult& result) {
                   handleDirectCommandResult(id, sent, result);
@@ -175,6 +170,23 @@
   return !machine.registered || heartbeatOverdue(machine) || machine.followUpCommandDue;
 }
 
+void ShardScheduler::queueForDirectCommand(Machine& machine) {
+  machine.directCommandDue = true;
+  if (std::exchange(machine.queuedForDirectCommand, true)) return;
+  directCommandQueue_.push_back(machine.id);
+}
+
+// Sends commands to the machines for which too many others were in flight, in the order in which they came.
+void ShardScheduler::sendQueuedCommands() {
+  while (!directCommandQueue_.empty() && directCommandsInFlight_ < maxDirectCommandsInFlight()) {
+    Machine* machine = state_.machine(directCommandQueue_.front());
+    directCommandQueue_.pop_front();
+    if (!machine) continue;
+    machine->queuedForDirectCommand = false;
+    sendCommands(*machine);
+  }
+}
+
 std::size_t ShardScheduler::maxDirectCommandsInFlight() const {
   return std::max(settings_.reservedSockets() / kKeptSocketsPerCommand / settings_.size(),
                   kMinDirectCommandsInFlight);
@@ -190,16 +202,20 @@
                                                const HttpResult& result) {
   if (sent.isProbe) --probesInFlight_;
   --directCommandsInFlight_;
-  Machine* machine = state_.machine(id);
-  if (!machine) return;
-  machine->commandInFlight = false;
+  if (Machine* machine = state_.machine(id)) applyDirectCommandResult(*machine, sent, result);
+  sendQueuedCommands();
+}
+
+void ShardScheduler::applyDirectCommandResult(Machine& machine, const DirectCommand& sent,
+                                              const HttpResult& result) {
+  machine.commandInFlight = false;
   // 409: the worker rejected the command because it has seen a higher token or has another incarnation.
   bool answered = result.answered(200) || result.answered(409);
   auto heartbeat = answered ? wire::parseHeartbeat(result.response.body) : std::nullopt;
-  if (heartbeat && heartbeat->machine == id)
-    handleCommandAnswered(*machine, sent, *heartbeat);
+  if (heartbeat && heartbeat->machine == machine.id)
+    handleCommandAnswered(machine, sent, *heartbeat);
   else
-    handleCommandUnanswered(*machine, sent, result);
+    handleCommandUnanswered(machine, result);
 }
 
 void ShardScheduler::handleCommandAnswered(Machine& machine, const DirectCommand& sent,
@@ -218,29 +234,35 @@
   if (wrongIncarnation || current->followUpCommandDue) sendCommands(*current);
 }
 
-void ShardScheduler::handleCommandUnanswered(Machine& machine, const DirectCommand& sent,
-                                             const HttpResult& result) {
+void ShardScheduler::handleCommandUnanswered(Machine& machine, const HttpResult& result) {
   auto now = runtime_.now();
   ++machine.unansweredProbes;
   bool unreachable = machine.unansweredProbes >= kUnansweredProbesToSuspect;
   if (unreachable) probeThroughPeers(machine);
   if (result.outcome == HttpResult::Outcome::NotSent) {
-    for (const auto& attempt : sent.starts) machine.fence.eraseUnsentStart(attempt);
     machine.nextCommandNotBefore = now + kBackoffNotSent;
     return;
   }
-  // The command may be executed minutes later, unless the worker has seen the advanced token by then
-  // (invariant 3).
   log_->debug("command unanswered: machine={} in_a_row={}", machine.id.value, machine.unansweredProbes);
-  machine.fence.recordUnansweredCommand(sent.token);
-  commandAudit_.tokenRaised(machine, TokenRaiseReason::CommandUnanswered);
+  // The worker may not hear us: it gets no new work before it has shown that it does (invariant 11).
+  if (machine.acknowledged()) requireAcknowledgement(machine, TokenRaiseReason::CommandUnanswered);
   machine.directCommandDue = true;
-  // If only its heartbeats get through, commands are sent in their answers: each lost direct command would
-  // exclude the machine from new work until it has acknowledged the advanced token.
+  // If only its heartbeats get through, commands are sent in their answers.
   bool onlyHeartbeatsArrive = unreachable && now - machine.lastHeartbeatAt < heartbeatDueAfter();
   machine.nextCommandNotBefore = now + (onlyHeartbeatsArrive ? kBackoffUnreachable : kBackoffUnanswered);
-  markTokenUnacknowledged(machine);
   state_.reindex(machine);
+  if (unreachable && heartbeatOverdue(machine)) placeUnsentTasksElsewhere(machine);
+}
+
+// Tasks whose start was never sent run on no machine, so they need not wait for this one. The members of a
+// gang stay, as the gang would have to start anew.
+void ShardScheduler::placeUnsentTasksElsewhere(Machine& machine) {
+  auto unsent = machine.tasksWhere([](const Placement& placement) {
+    return placement.awaitsStart() && !placement.startSent && !placement.job->isGang();
+  });
+  if (unsent.empty()) return;
+  handleTasksLost(machine, unsent);
+  requestPlacementRound(true);
 }
 
 // The machine may be unreachable only from this controller. Then peers relay its heartbeats, and it must not
--- a/src/scheduler/heartbeats.cpp
+++ b/src/scheduler/heartbeats.cpp
@@ -29,16 +29,15 @@
          heartbeat.sequence > placement.startSentWith;
 }
 
-// A start command for the task may still have reached the worker after it sent this heartbeat (invariants 3
-// and 4).
+// A start command for the task may still have reached the worker after it sent this heartbeat (invariant 4).
+// A new agent process may also execute direct starts of a former version until it has seen a higher token.
 bool startMayArrive(const Machine& machine, const Placement& placement,
                     const wire::WorkerHeartbeat& heartbeat, HeartbeatSource source) {
-  return machine.commandInFlight || !machine.noCommandInDoubt() || source == HeartbeatSource::DirectAnswer ||
+  return !machine.acknowledged() || source == HeartbeatSource::DirectAnswer ||
          heartbeat.sequence <= placement.startSentWith;
 }
 
-// Whether the absence of the task from the heartbeat proves that it is not on the machine (invariant 2). A
-// copy of a direct start may still start it again.
+// Whether the absence of the task from the heartbeat proves that it is not on the machine (invariant 2).
 bool absenceProvesGone(const Machine& machine, const Placement& placement,
                        const wire::WorkerHeartbeat& heartbeat, HeartbeatSource source) {
   if (placement.observed) return true;
@@ -57,6 +56,15 @@
   }
 }
 
+// Whether the report is newer than all reports before it, and only an answer to a direct command came faster.
+// If it is late instead, its worker executes nothing of the response (invariant 4).
+bool overtakenByAnswer(const Machine& machine, const wire::WorkerHeartbeat& heartbeat) {
+  auto position = positionOf(heartbeat);
+  auto latest = machine.fence.latestPosition();
+  return machine.registered && position.incarnation == latest.incarnation && position < latest &&
+         position > machine.lastReport && !machine.fence.carriesLowerToken(heartbeat);
+}
+
 // An attempt without a placement is known to be gone. It may not appear on the machine that has heard the
 // owner before without it.
 bool isReappearance(const Machine& machine, const wire::ReportedTask& reported) {
@@ -103,9 +111,9 @@
   // A delayed duplicate gets no starts and no forgets, as the current worker does not wait for its answer
   // (invariant 12). It may be the heartbeat of a new worker that executed copies of old commands.
   if (owns())
-    mergeCommands(commands, result == ReconcileResult::Accepted
-                                ? commandsInAnswer(*machine, heartbeat)
-                                : UnplacedTasks::stops(*machine, heartbeat.tasks));
+    mergeCommands(commands, result == ReconcileResult::Ignored
+                                ? UnplacedTasks::stops(*machine, heartbeat.tasks)
+                                : commandsInAnswer(*machine, heartbeat));
   return {kHttpOk, wire::encodeHeartbeatAnswer(machine->token(), commands)};
 }
 
@@ -129,13 +137,16 @@
 
 // --- reconciliation ---
 
-ShardScheduler::ReconcileResult ShardScheduler::reconcile(Machine& machine,
-                                                          const wire::WorkerHeartbeat& heartbeat,
-                                                          HeartbeatSource source) {
+ReconcileResult ShardScheduler::reconcile(Machine& machine, const wire::WorkerHeartbeat& heartbeat,
+                                          HeartbeatSource source) {
   if (!machine.registered && !machine.fence.carriesOwnToken(heartbeat)) {
     reconcileUnverified(machine, heartbeat, source);
     return ReconcileResult::Ignored;
   }
+  if (source == HeartbeatSource::WorkerReport && overtakenByAnswer(machine, heartbeat)) {
+    machine.lastReport = positionOf(heartbeat);
+    return ReconcileResult::Overtaken;
+  }
   if (!machine.fence.isNewer(heartbeat)) {
     // It is delayed, or a duplicate of an earlier worker's heartbeat (invariants 4 and 12). Or the worker
     // restarted and counts from one again, which its answer to a probe shows.
@@ -161,8 +172,7 @@
   machine.reported = heartbeat.tasks;
   if (!heartbeat.address.empty()) machine.address = heartbeat.address;
   handleReclaimNotice(machine, heartbeat);
-  machine.directCommandDue =
-      machine.anyPending() || machine.followUpCommandDue || !machine.noCommandInDoubt();
+  machine.directCommandDue = machine.anyPending() || machine.followUpCommandDue || !machine.acknowledged();
   state_.reindex(machine);
   bool capacityFreed =
       machine.placements.size() < placementsBefore || change.firstHeartbeat || change.cordonLifted;
@@ -186,9 +196,8 @@
 }
 
 // Applies what the heartbeat reports about the worker itself, and extends its lease.
-ShardScheduler::MachineChange ShardScheduler::acceptHeartbeat(Machine& machine,
-                                                              const wire::WorkerHeartbeat& heartbeat,
-                                                              HeartbeatSource source) {
+MachineChange ShardScheduler::acceptHeartbeat(Machine& machine, const wire::WorkerHeartbeat& heartbeat,
+                                              HeartbeatSource source) {
   auto now = runtime_.now();
   MachineChange change;
   change.newIncarnation = machine.fence.startsNewIncarnation(heartbeat);
@@ -197,14 +206,18 @@
   machine.lastHeartbeatAt = now;
   // Upper bound of the lease that the answers to this heartbeat and to earlier ones grant.
   machine.leaseExpiresAt = now + maxLeaseAfterAnswer();
-  change.cordonLifted = std::exchange(machine.cordoned, false);
   change.firstHeartbeat = !machine.registered;
+  if (source == HeartbeatSource::WorkerReport) machine.lastReport = positionOf(heartbeat);
+  if (source == HeartbeatSource::WorkerReport || change.firstHeartbeat) {
+    machine.lastReportAt = now;
+    change.cordonLifted = std::exchange(machine.cordoned, false);
+  }
   // The worker lost its lease although its heartbeats were answered, so it gets new work only after it has
   // acknowledged a higher token.
   bool lostAnsweredLease =
       !change.firstHeartbeat && change.newIncarnation && source == HeartbeatSource::WorkerReport;
   if (lostAnsweredLease) requireAcknowledgement(machine, TokenRaiseReason::LeaseLost);
-  if (machine.noCommandInDoubt())
+  if (machine.acknowledged())
     machine.tokenUnacknowledgedSince.reset();
   else
     markTokenUnacknowledged(machine);
@@ -239,19 +252,13 @@
   for (const auto& reported : heartbeat.tasks) listedAttempts.insert({reported.task, reported.attempt});
   std::vector<TaskId> lostTasks;
   bool missed = false;
-  bool restartable = false;
   for (const auto& [task, placement] : machine.placements) {
     bool listed = listedAttempts.count({task, placement.attempt}) > 0;
     if (listed || !placement.committed) continue;
     if (source == HeartbeatSource::WorkerReport && startMissed(placement, heartbeat)) missed = true;
-    if (!absenceProvesGone(machine, placement, heartbeat, source)) continue;
-    if (machine.fence.directStartMayArrive({task, placement.attempt}))
-      restartable = true;
-    else
-      lostTasks.push_back(task);
+    if (absenceProvesGone(machine, placement, heartbeat, source)) lostTasks.push_back(task);
   }
   countMissedStart(machine, missed);
-  if (restartable && machine.noCommandInDoubt()) requireAcknowledgement(machine, TokenRaiseReason::TasksLost);
   handleTasksLost(machine, lostTasks);
 }
 
@@ -259,13 +266,13 @@
 // (invariant 11).
 void ShardScheduler::countMissedStart(Machine& machine, bool missed) {
   machine.missedStarts = missed ? machine.missedStarts + 1 : 0;
-  if (machine.missedStarts < kMissedStartsToAdvanceToken || !machine.noCommandInDoubt()) return;
+  if (machine.missedStarts < kMissedStartsToAdvanceToken || !machine.acknowledged()) return;
   requireAcknowledgement(machine, TokenRaiseReason::StartsMissed);
 }
 
-// Commands sent before are settled, and the machine gets work again, once it acknowledges a higher token.
+// The machine gets new work again once it acknowledges a higher token.
 void ShardScheduler::requireAcknowledgement(Machine& machine, TokenRaiseReason reason) {
-  machine.fence.advanceToken();
+  machine.fence.requireAcknowledgement();
   commandAudit_.tokenRaised(machine, reason);
   markTokenUnacknowledged(machine);
 }
@@ -278,13 +285,14 @@
 // --- incarnations ---
 
 // The worker's answer to a direct command has a lower position than its earlier heartbeats: a new worker
-// process, which counts from one again, has replaced the old one. The old one's tasks are gone, but start
-// commands in flight may reach the new process until it has seen a higher token (invariant 3).
+// process, which counts from one again, has replaced the old one. The old one's tasks are gone, but direct
+// starts of a former version may reach the new process until it has seen a higher token (invariant 3).
 void ShardScheduler::handleWorkerRestart(Machine& machine, const wire::WorkerHeartbeat& answer) {
   log_->info("worker restarted: machine={} incarnation={}", machine.id.value, answer.incarnation.value);
   machine.fence.resetForRestartedWorker(answer);
   commandAudit_.tokenRaised(machine, TokenRaiseReason::WorkerRestarted);
   machine.reported.clear();
+  machine.lastReport = {};
   for (auto& [_, placement] : machine.placements) {
     if (placement.observed && placement.phase == TaskPhase::Running) --placement.job->running;
     placement.observed = false;
@@ -298,7 +306,7 @@
 
 // The worker has killed and discarded all tasks of the previous incarnation (invariant 2).
 void ShardScheduler::beginIncarnation(Machine& machine) {
-  machine.fence.clearCommandInDoubt();
+  machine.fence.clearRequiredAcknowledgement();
   machine.reported.clear();
   handleTasksLost(machine, machine.tasksWhere([](const Placement& placement) {
     return placement.startSent || placement.restored;
--- a/src/scheduler/liveness.cpp
+++ b/src/scheduler/liveness.cpp
@@ -1,4 +1,4 @@
-// Failure detection: expires leases, cordons machines without recent heartbeats, and returns suspected
+// Failure detection: expires leases, cordons machines without recent reports, and returns suspected
 // machines to the cloud.
 #include <algorithm>
 
@@ -10,7 +10,7 @@
 // A heartbeat may be late by a quarter of the report interval; after that the machine is probed.
 constexpr double kOverdueAfterHeartbeats = 1.25;
 constexpr Duration kOverdueMargin{1'000};
-constexpr double kCordonAfterHeartbeats = 2.6;  // report intervals without a heartbeat until it is cordoned
+constexpr double kCordonAfterReports = 2.6;  // report intervals without a report until it is cordoned
 // Time a worker may take to give up on one controller and report to the next.
 constexpr Duration kControllerFailoverTime{6'500};
 // A machine is suspected if its heartbeats do not acknowledge our token for this many report intervals plus
@@ -23,6 +23,10 @@
   return runtime_.now() - std::max(machine.lastHeartbeatAt, lastStallEnd_);
 }
 
+Duration ShardScheduler::timeSinceReport(const Machine& machine) const {
+  return runtime_.now() - std::max(machine.lastReportAt, lastStallEnd_);
+}
+
 Duration ShardScheduler::heartbeatDueAfter() const {
   return seconds(settings_.heartbeatIntervalS * kOverdueAfterHeartbeats);
 }
@@ -37,9 +41,10 @@
   bool silent = now > machine.leaseExpiresAt && (machine.registered || !machine.placements.empty());
   if (silent && now > callbacks_.answeredByPeersUntil() + maxLeaseAfterAnswer()) expireLease(machine);
   if (!machine.cordoned &&
-      timeSinceHeartbeat(machine) > seconds(settings_.heartbeatIntervalS * kCordonAfterHeartbeats)) {
+      timeSinceReport(machine) > seconds(settings_.heartbeatIntervalS * kCordonAfterReports)) {
     machine.cordoned = true;
     state_.reindex(machine);
+    placeUnsentTasksElsewhere(machine);
   }
   if (!machine.registered || heartbeatOverdue(machine)) machine.directCommandDue = true;
 }
--- a/src/scheduler/machine_record_writer.cpp
+++ b/src/scheduler/machine_record_writer.cpp
@@ -14,7 +14,7 @@
 
 // Whether the machine is to leave the shard, and nothing the shard sent can still take effect on it.
 bool readyToLeave(const Machine& machine) {
-  return machine.moveTarget && machine.placements.empty() && machine.noCommandInDoubt() &&
+  return machine.moveTarget && machine.placements.empty() && machine.acknowledged() &&
          !machine.commandInFlight;
 }
 
--- a/src/scheduler/placement_turn.cpp
+++ b/src/scheduler/placement_turn.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kCoresEpsilon = 1e-9;  // core counts that differ by less are equal
+// A report may be late by a quarter of the interval.
+constexpr double kReportDueAfterIntervals = 1.25;
 // Limits the machines examined, per machine to find: some cache the image, lack memory, or were rejected.
 constexpr unsigned kMaxExaminedPerMachine = 4;
 
@@ -30,17 +32,6 @@
   return left.no < right.no;
 }
 
-// Compares two machines with capacity, image locality aside: spot before on-demand (jobs that may not use
-// spot machines are not offered any), then least free cores (best fit).
-bool isBetterMachine(const Job& job, const Machine& left, const Machine& right) {
-  if (left.spot() != right.spot()) return left.spot();
-  if (job.spec->kind == JobKind::Service) return isBetterForReplica(job, left, right);
-  double leftCores = left.free().cores;
-  double rightCores = right.free().cores;
-  if (std::abs(leftCores - rightCores) > kCoresEpsilon) return leftCores < rightCores;
-  return left.no < right.no;
-}
-
 // Iterates over a pool's machines by free cores.
 struct PoolCursor {
   const MachinePool* pool;
@@ -53,12 +44,38 @@
     : context_(context),
       scope_(scope),
       job_(job),
+      now_(context.runtime.now()),
       hasStartObjective_(context.settings.startWithin(job.spec->jobClass).has_value()) {
   context_.counters.machinesExamined += job_.imageHolders->size();
   for (const auto& [_, machine] : *job_.imageHolders)
     if (hasCapacityFor(*machine)) machinesWithImage_.push_back(machine);
   std::sort(machinesWithImage_.begin(), machinesWithImage_.end(),
-            [&](const Machine* left, const Machine* right) { return isBetterMachine(job_, *left, *right); });
+            [&](const Machine* left, const Machine* right) { return isBetterMachine(*left, *right); });
+}
+
+// Compares two machines with capacity, image locality aside: spot before on-demand (jobs that may not use
+// spot machines are not offered any), then those that can be told to start the task at once, then least free
+// cores (best fit). A gang starts with its slowest member, so few machines matter more to it.
+bool PlacementTurn::isBetterMachine(const Machine& left, const Machine& right) const {
+  if (left.spot() != right.spot()) return left.spot();
+  if (job_.spec->kind == JobKind::Service) return isBetterForReplica(job_, left, right);
+  bool leftHearsAtOnce = job_.isGang() || hearsAtOnce(left);
+  bool rightHearsAtOnce = job_.isGang() || hearsAtOnce(right);
+  if (leftHearsAtOnce != rightHearsAtOnce) return leftHearsAtOnce;
+  double leftCores = left.free().cores;
+  double rightCores = right.free().cores;
+  if (std::abs(leftCores - rightCores) > kCoresEpsilon) return leftCores < rightCores;
+  return left.no < right.no;
+}
+
+// Starts go in answers to reports. A worker can't report again right after its last report; and one whose
+// report is overdue, or that this owner has heard only in answers to direct commands, may still be looking
+// for a controller.
+bool PlacementTurn::hearsAtOnce(const Machine& machine) const {
+  bool reportsArrive = machine.lastReport != HeartbeatPosition{} && machine.unansweredProbes == 0;
+  auto sinceReport = now_ - machine.lastReportAt;
+  return reportsArrive && sinceReport >= wire::kMinReportInterval &&
+         sinceReport < seconds(context_.settings.heartbeatIntervalS * kReportDueAfterIntervals);
 }
 
 Machine* PlacementTurn::nextMachine() {
@@ -91,7 +108,7 @@
     // Each placed replica changes the zone preference, so the best machine is searched anew.
     Machine* best = nullptr;
     for (Machine* machine : machinesWithImage_)
-      if (hasCapacityFor(*machine) && (!best || isBetterMachine(job_, *machine, *best))) best = machine;
+      if (hasCapacityFor(*machine) && (!best || isBetterMachine(*machine, *best))) best = machine;
     return best;
   }
   // The order stays valid while the turn fills the machines: the first that still fits is the best fit.
@@ -105,10 +122,9 @@
 // capacity on a machine that caches the image. Gangs do not wait: their start depends on the slowest member,
 // and all members are placed at once on the capacity available.
 bool PlacementTurn::shouldWaitForMachineWithImage(const Machine& bestWithoutImage) const {
-  auto now = context_.runtime.now();
-  if (now < job_.ignoreImageAffinityUntil || job_.isGang()) return false;
+  if (now_ < job_.ignoreImageAffinityUntil || job_.isGang()) return false;
   if (!context_.constraints.fetchMissesStartObjective(job_, bestWithoutImage)) return false;
-  return EvictionPlanner(context_.settings, context_.state, context_.constraints, now)
+  return EvictionPlanner(context_.settings, context_.state, context_.constraints, now_)
       .shouldPreemptForCachedImage(job_);
 }
 
@@ -170,7 +186,7 @@
     double leftFetch = hasStartObjective_ ? left->imageFetchSeconds(spec) : 0;
     double rightFetch = hasStartObjective_ ? right->imageFetchSeconds(spec) : 0;
     if (leftFetch != rightFetch) return leftFetch < rightFetch;
-    return isBetterMachine(job_, *left, *right);
+    return isBetterMachine(*left, *right);
   });
 }
 
--- a/src/scheduler/placement_turn.h
+++ b/src/scheduler/placement_turn.h
@@ -50,6 +50,8 @@
   std::vector<Machine*> indexedMachines() const;
   bool isCandidateWithoutImage(const Machine& machine) const;
   bool hasCapacityFor(const Machine& machine) const;
+  bool isBetterMachine(const Machine& left, const Machine& right) const;
+  bool hearsAtOnce(const Machine& machine) const;
   void sortMachinesWithoutImage(std::vector<Machine*>& machines) const;
   bool shouldWaitForMachineWithImage(const Machine& bestWithoutImage) const;
   const policy::SampleEstimate& sampleEstimate();
@@ -60,6 +62,7 @@
   PlacementContext context_;
   const RoundScope& scope_;
   const Job& job_;
+  Time now_;
   bool hasStartObjective_;
   std::vector<Machine*> machinesWithImage_;  // and those accepted without it in this turn
   std::set<std::uint32_t> rejected_;         // numbers of machines that a random draw rejected in this turn
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -10,10 +10,12 @@
 #include "mesh/messages.h"
 #include "policy/gang.h"
 #include "scheduler/capacity_offers.h"
+#include "scheduler/command_audit.h"
 #include "scheduler/commit_in_flight.h"
 #include "scheduler/delegated_tasks.h"
 #include "scheduler/eviction_planner.h"
 #include "scheduler/failure_attribution.h"
+#include "scheduler/heartbeat_reconciliation.h"
 #include "scheduler/job_migration.h"
 #include "scheduler/load_reporter.h"
 #include "scheduler/machine_record_writer.h"
@@ -30,12 +32,6 @@
 
 namespace cherryloft {
 
-// How a heartbeat arrived, which determines what it proves about responses and commands in flight.
-enum class HeartbeatSource : std::uint8_t {
-  WorkerReport,  // the worker's periodic report, to which this scheduler responds
-  DirectAnswer,  // its answer to a direct command or a probe, from this controller or a peer
-};
-
 class ShardScheduler {
  public:
   struct Callbacks {
@@ -117,17 +113,6 @@
   Machine& addOwnedMachine(const MachineId& id, const MachineEntry& entry);
 
   // Heartbeats (heartbeats.cpp).
-  enum class ReconcileResult : std::uint8_t {
-    Accepted,  // newer than the previous one, and proven current
-    Ignored,   // late, a copy, or not proven current
-  };
-  // Changes of the machine itself by an accepted heartbeat.
-  struct MachineChange {
-    bool firstHeartbeat = false;  // since the machine was added or its lease expired
-    bool cordonLifted = false;
-    bool newIncarnation = false;
-    [[nodiscard]] bool any() const { return firstHeartbeat || cordonLifted || newIncarnation; }
-  };
   HeartbeatAnswer answerWhileLoading(const wire::WorkerHeartbeat& heartbeat) const;
   // Reconciles the shard state with a worker's heartbeat, and requests a round if that frees capacity. May
   // remove placements, and send commands to this and other machines.
@@ -163,18 +148,16 @@
   // Commands (commands.cpp).
   // A command sent in its own request rather than in a heartbeat response.
   struct DirectCommand {
-    FencingToken token;
     Incarnation incarnation;
     HeartbeatPosition latestHeartbeat;  // received from the machine when it was sent
-    bool isProbe = false;               // carries no commands: only requests a heartbeat
-    std::vector<TaskAttempt> starts;    // the attempts that it starts
+    bool isProbe = false;               // carries no commands
   };
   // Commands for the response to a heartbeat: starts and stops, repeated until a heartbeat confirms them, and
   // commands for tasks that the shard state does not know.
   std::vector<wire::Command> commandsInAnswer(Machine& machine, const wire::WorkerHeartbeat& heartbeat);
-  // Commands for a direct request: starts not sent yet, and stops at intervals. Marks them as sent.
+  // Commands for a direct request: stops at intervals, and a wake-up if a start is due. Marks them as sent.
   std::vector<wire::Command> takeDirectCommands(Machine& machine);
-  void raiseTokenForRestarts(Machine& machine);
+  bool wakeUpDue(Machine& machine) const;
   wire::Command stopCommandFor(const TaskId& task, const Placement& placement, Time now) const;
   bool mayCheckpoint(const Placement& placement, Time now) const;
   // How long a stopped task may take to write its checkpoint. A gang member that has finished its checkpoint
@@ -186,10 +169,14 @@
   void sendCommandsToAll(const std::set<MachineId>& machines);
   bool probeDue(const Machine& machine) const;
   std::size_t maxDirectCommandsInFlight() const;
+  void queueForDirectCommand(Machine& machine);
+  void sendQueuedCommands();
   void handleDirectCommandResult(const MachineId& id, const DirectCommand& sent, const HttpResult& result);
+  void applyDirectCommandResult(Machine& machine, const DirectCommand& sent, const HttpResult& result);
   void handleCommandAnswered(Machine& machine, const DirectCommand& sent,
                              const wire::WorkerHeartbeat& heartbeat);
-  void handleCommandUnanswered(Machine& machine, const DirectCommand& sent, const HttpResult& result);
+  void handleCommandUnanswered(Machine& machine, const HttpResult& result);
+  void placeUnsentTasksElsewhere(Machine& machine);
   void probeThroughPeers(const Machine& machine);
   void handlePeerProbe(const MachineId& id, const HeartbeatPosition& latest, const std::string& body);
 
@@ -198,8 +185,10 @@
   static constexpr unsigned kUnansweredProbesToSuspect = 2;
   // Time after which a heartbeat is due: the report interval plus a quarter of tolerance.
   Duration heartbeatDueAfter() const;
-  // Time since the last heartbeat; excludes the time before this process resumed from a stall.
+  // Time since the last heartbeat, and since the last one that did not answer a direct command; both exclude
+  // the time before this process resumed from a stall.
   Duration timeSinceHeartbeat(const Machine& machine) const;
+  Duration timeSinceReport(const Machine& machine) const;
   bool heartbeatOverdue(const Machine& machine) const;
   void checkLiveness(Machine& machine, Time now);
   void expireLease(Machine& machine);
@@ -360,8 +349,9 @@
   bool placementsUnwritten_ = false;  // some of unwrittenTasks_ are placements
   std::optional<CommitInFlight> commitInFlight_;
 
-  std::size_t probesInFlight_ = 0;          // direct requests that carry no commands
-  std::size_t directCommandsInFlight_ = 0;  // probes included
+  std::size_t probesInFlight_ = 0;            // direct requests that carry no commands
+  std::size_t directCommandsInFlight_ = 0;    // probes included
+  std::deque<MachineId> directCommandQueue_;  // machines that wait until fewer are in flight
   MassSuspicion massSuspicion_;
   Time lastTickAt_{};
   Time lastStallEnd_{};  // end of this process's last stall
@@ -379,7 +369,7 @@
 
   StartLatencies latencies_;
   CommandAudit commandAudit_{log_, takeover_.shard, latencies_.counts};
-  UnplacedTasks unplacedTasks_{settings_, state_, commandAudit_};
+  UnplacedTasks unplacedTasks_{state_};
   LoadReporter loadReporter_;
   MachineRecordWriter machineRecordWriter_;
 };
--- a/src/scheduler/shard_state.cpp
+++ b/src/scheduler/shard_state.cpp
@@ -122,6 +122,7 @@
   machine.pool = &poolFor(machine);
   ++machine.pool->machines;
   machine.lastHeartbeatAt = now;
+  machine.lastReportAt = now;
   machine.idleSince = now;
   return machine;
 }
--- a/src/scheduler/shard_state.h
+++ b/src/scheduler/shard_state.h
@@ -29,7 +29,7 @@
 //     | the commit of its attempt succeeds, or the attempt is loaded from the store (restored)
 //     v
 //   committed     awaitsStart(), unless restored: a former owner may have sent the start command
-//     | a start command is sent: startSent
+//     | a heartbeat response carries the start command: startSent
 //     v
 //   starting      the start is repeated in heartbeat responses until the task is observed
 //     | a heartbeat of the worker's current incarnation lists the task: observed
@@ -74,9 +74,9 @@
 //     | a heartbeat that carries this owner's token (invariants 7 and 12)
 //     v
 //   registered      open() for new work, unless one of these holds:
-//     |               cordoned          no recent heartbeat; lifted by the next one
-//     |               command in doubt  an unanswered command may still arrive (CommandFence);
-//     |                                 resolved by a heartbeat with a higher token
+//     |               cordoned          no recent report; lifted by the next one
+//     |               unacknowledged    it may not hear its owner (CommandFence); resolved by a heartbeat
+//     |                                 with a higher token
 //     |               reclaimAt         the cloud has announced that it reclaims the machine
 //     |               draining          leaves once it is empty; can be cancelled
 //     |               decommissioning   takes no more work, irrevocably
@@ -101,24 +101,27 @@
 
   // --- heartbeats from the worker ---
   bool registered = false;  // has sent our token (invariant 7), and its lease has not expired since
-  bool cordoned = false;    // no recent heartbeat: gets no new work
+  bool cordoned = false;    // no recent report, whose answer could start tasks: gets no new work
   Time lastHeartbeatAt{};
-  Time leaseExpiresAt{};  // latest possible end of its worker's incarnation (invariant 2)
+  HeartbeatPosition lastReport;  // position of the last heartbeat that did not answer a direct command
+  Time lastReportAt{};           // when it arrived
+  Time leaseExpiresAt{};         // latest possible end of its worker's incarnation (invariant 2)
   CommandFence fence;
   std::vector<wire::ReportedTask> reported;  // the tasks in the last accepted heartbeat
   std::string address;                       // as reported by the worker
   std::optional<Time> reclaimAt;             // announced time of its reclaim by the cloud
 
   // --- commands to the worker ---
-  bool directCommandDue = true;     // a direct command or a probe has to be sent
-  bool commandInFlight = false;     // a direct command was neither answered nor timed out
-  bool followUpCommandDue = false;  // another one has to follow the one in flight
-  Time nextCommandNotBefore{};      // earliest time of the next direct command
-  unsigned unansweredProbes = 0;    // consecutive direct commands without an answer
+  bool directCommandDue = true;         // a direct command or a probe has to be sent
+  bool queuedForDirectCommand = false;  // it waits until fewer are in flight
+  bool commandInFlight = false;         // a direct command was neither answered nor timed out
+  bool followUpCommandDue = false;      // another one has to follow the one in flight
+  Time nextCommandNotBefore{};          // earliest time of the next direct command
+  unsigned unansweredProbes = 0;        // consecutive direct commands without an answer
   // Consecutive heartbeats without a task that the response to an earlier one should have started.
   unsigned missedStarts = 0;
   std::optional<Time> tokenUnacknowledgedSince;  // heartbeats arrive without our token (invariant 11)
-  std::optional<Time> tokenRaisedToForgetAt;     // the last time
+  Time heartbeatExpectedUntil{};  // by then the worker reports a change: it needs no wake-up before
 
   // --- drain and removal ---
   bool draining = false;                   // no new work; leaves once empty unless capacity becomes short
@@ -132,7 +135,7 @@
   std::size_t openIndex = 0;
 
   [[nodiscard]] FencingToken token() const { return fence.token(); }
-  [[nodiscard]] bool noCommandInDoubt() const { return fence.noCommandInDoubt(); }
+  [[nodiscard]] bool acknowledged() const { return fence.acknowledged(); }
   bool spot() const { return known.record.spot; }
   const Zone& zone() const { return known.record.zone; }
   Resources free() const { return size - used; }
@@ -142,7 +145,7 @@
   // Whether it accepts new tasks.
   bool open() const {
     return registered && !cordoned && !decommissioning && !draining && !reclaimAt &&
-           known.record.phase == wire::MachinePhase::InUse && noCommandInDoubt() && size.cores > 0;
+           known.record.phase == wire::MachinePhase::InUse && acknowledged() && size.cores > 0;
   }
   // The placement of exactly this attempt; null if it is not placed here.
   [[nodiscard]] Placement* placementOf(const wire::ReportedTask& reported);
--- a/src/wire/users.cpp
+++ b/src/wire/users.cpp
@@ -1,17 +1,14 @@
 #include "wire/users.h"
 
 #include <algorithm>
-#include <string_view>
 
 #include "wire/json.h"
 
 namespace cherryloft::wire {
 namespace {
 
-constexpr std::uint32_t kMaxTasks = 100'000;
 constexpr double kMaxAmount = 1e9;  // of any numeric field
 constexpr std::size_t kMaxNameBytes = 200;
-constexpr std::string_view kJobIdPrefix = "wk-";
 constexpr std::size_t kMaxJobIdBytes = 64;
 constexpr int kServiceUnavailable = 503;
 constexpr int kRetryAfterS = 1;
@@ -87,8 +84,8 @@
   else
     fields.reject("rank");
   auto tasks = unsignedField(*doc, "pieces");
-  if (!tasks || *tasks < 1 || *tasks > kMaxTasks) fields.reject("pieces");
-  job.tasks = static_cast<std::uint32_t>(std::min<std::uint64_t>(tasks.value_or(1), kMaxTasks));
+  if (!tasks || *tasks < 1 || *tasks > kMaxTasksPerJob) fields.reject("pieces");
+  job.tasks = static_cast<std::uint32_t>(std::min<std::uint64_t>(tasks.value_or(1), kMaxTasksPerJob));
   job.each = {fields.amount("cores", 0), fields.amount("gpus", 0), fields.amount("ram_gb", 0)};
   if (job.each.cores <= 0 && job.each.gpus <= 0) fields.reject("cores");
   job.image = ImageId{fields.name("bundle")};
--- a/src/wire/users.h
+++ b/src/wire/users.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "base/job.h"
@@ -10,6 +11,10 @@
 
 namespace cherryloft::wire {
 
+// The greatest number of tasks of a job; their indices begin at 0.
+inline constexpr std::uint32_t kMaxTasksPerJob = 100'000;
+inline constexpr std::string_view kJobIdPrefix = "wk-";
+
 // The reason why a submission was rejected as malformed.
 struct Malformed {
   std::string why;
--- a/src/wire/workers.cpp
+++ b/src/wire/workers.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "wire/json.h"
+#include "wire/users.h"
 
 namespace cherryloft::wire {
 namespace {
@@ -59,6 +60,10 @@
 
 }  // namespace
 
+Command wakeUpCommand(Attempt attempt) {
+  return {Command::Verb::Start, TaskId{JobId{std::string(kJobIdPrefix) + "0"}, kMaxTasksPerJob}, attempt, 0};
+}
+
 std::string encodeTask(const TaskId& task) { return task.job.value + "/" + std::to_string(task.index); }
 
 std::optional<TaskId> parseTask(const std::string& text) {
--- a/src/wire/workers.h
+++ b/src/wire/workers.h
@@ -37,6 +37,9 @@
   std::vector<ReportedTask> tasks;
 };
 
+// Workers send their reports at least this far apart, whatever there is to tell.
+inline constexpr Duration kMinReportInterval{500};
+
 // Returns nullopt when a field is missing or any task is malformed: from an incomplete list it does not
 // follow that a task is absent.
 std::optional<WorkerHeartbeat> parseHeartbeat(const std::string& body);
@@ -50,6 +53,11 @@
   double graceS = 0;
 };
 
+// A start command that every worker refuses: it names a task with an index that no job reaches. The refusal
+// is a change that makes the worker report at once; it does nothing else, however late or often it is
+// executed. Another attempt makes the worker report once more.
+Command wakeUpCommand(Attempt attempt);
+
 // The response to a heartbeat.
 std::string encodeHeartbeatAnswer(FencingToken token, const std::vector<Command>& commands);
 // The body of a request with commands to a worker, which rejects it unless it has this incarnation.
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -30,6 +30,16 @@
 
 }  // namespace
 
+// Whoever executes a late copy of it must find no task to start, whichever jobs are submitted.
+TEST(Workers, AWakeUpNamesATaskThatNoJobHas) {
+  auto largest = validSubmission();
+  largest["pieces"] = kMaxTasksPerJob;
+  ASSERT_TRUE(accepted(largest));
+  largest["pieces"] = kMaxTasksPerJob + 1;
+  EXPECT_FALSE(accepted(largest));
+  EXPECT_EQ(wakeUpCommand(Attempt{3}).task.index, kMaxTasksPerJob);
+}
+
 TEST(Users, ValidSubmission) {
   auto j = validSubmission();
   auto parsed = parseSubmission(j.dump());
--- a/tests/world/checker.h
+++ b/tests/world/checker.h
@@ -86,6 +86,10 @@
   // Events on machines. A task is on its machine once its image has been fetched. The command to start it was
   // sent at `commandSentAt`.
   void taskStarted(const Machine& m, const std::string& job, std::uint32_t index, Ms commandSentAt);
+  // Only answers to heartbeats may start tasks, as a direct command may be executed again at any time.
+  void startedByDirectCommand(const Machine& m, const std::string& task) {
+    reportViolation("started_directly", task + " starts on " + m.id + " by a direct command");
+  }
   void handleTaskExit(const std::string& machine, const std::string& job, std::uint32_t index, bool done);
   // Called periodically: checks everything that must have happened by now.
   void runPeriodicChecks();
--- a/tests/world/scenario_checker_actions.cpp
+++ b/tests/world/scenario_checker_actions.cpp
@@ -10,6 +10,12 @@
 
 constexpr unsigned kNonexistentTask = 99;  // an index beyond the tasks of the job
 
+// inject-direct-start JOB MACHINE: of its task 0
+void injectDirectStart(Context context) {
+  auto* worker = context.world.cloud.worker(context.line.word(4));
+  if (worker) worker->injectDirectStart(context.line.jobId(3), 0);
+}
+
 // inject-start JOB MACHINE [other]
 void injectStart(Context context) {
   auto* worker = context.world.cloud.worker(machineNamed(context.world, context.line.word(4)));
@@ -49,6 +55,7 @@
   static const ActionTable table{
       {"inject-silence", {[](Context c) { c.world.observation(c.line.jobId(3)).hiddenFromChecker = true; }}},
       {"inject-start", {injectStart}},
+      {"inject-direct-start", {injectDirectStart}},
       {"inject-status", {injectStatus}},
       {"inject-ignored-kills", {injectIgnoredKills}},
       {"inject-unsent-job", {injectUnsentJob}},
