--- a/src/scheduler/commands.cpp
+++ b/src/scheduler/commands.cpp
@@ -51,6 +51,14 @@
   return !job.isGang() || job.allCommitted();
 }
 
+// Whether a task may start on the machine of which no answer has carried the start yet.
+bool anyStartUnsent(const Machine& machine) {
+  return std::any_of(machine.placements.begin(), machine.placements.end(), [](const auto& entry) {
+    const auto& placement = entry.second;
+    return placement.awaitsStart() && !placement.startSent && mayStart(*placement.job);
+  });
+}
+
 Command startCommand(const TaskId& task, const Placement& placement) {
   return {Command::Verb::Start, task, placement.attempt, 0};
 }
@@ -116,26 +124,17 @@
     commands.push_back(stopCommandFor(task, placement, now));
     placement.stopSent = now;
   }
-  // Until the next heartbeat is accepted the attempt stays the same, so that repeating it changes nothing.
-  if (wakeUpDue(machine)) {
-    commands.push_back(wire::wakeUpCommand(Attempt{machine.fence.latestPosition().sequence.value}));
-    machine.heartbeatExpectedUntil = now + kChangeReportedWithin;
+  if (!anyStartUnsent(machine)) return commands;
+  if (now < machine.heartbeatExpectedUntil) {
+    machine.directCommandDue = true;  // in case that the heartbeat does not come
+    return commands;
   }
+  // Until the next heartbeat is accepted the attempt stays the same, so that repeating it changes nothing.
+  commands.push_back(wire::wakeUpCommand(Attempt{machine.fence.latestPosition().sequence.value}));
+  machine.heartbeatExpectedUntil = now + kChangeReportedWithin;
   return commands;
 }
 
-// Whether a start waits for a heartbeat that is not expected soon anyway.
-bool ShardScheduler::wakeUpDue(Machine& machine) const {
-  bool startDue = std::any_of(machine.placements.begin(), machine.placements.end(), [](const auto& entry) {
-    const auto& placement = entry.second;
-    return placement.awaitsStart() && !placement.startSent && mayStart(*placement.job);
-  });
-  if (!startDue) return false;
-  bool heartbeatExpected = runtime_.now() < machine.heartbeatExpectedUntil;
-  if (heartbeatExpected) machine.directCommandDue = true;  // in case that it does not come
-  return !heartbeatExpected;
-}
-
 // --- direct commands ---
 
 void ShardScheduler::sendCommands(Machine& machine) {
@@ -172,7 +171,8 @@
 
 void ShardScheduler::queueForDirectCommand(Machine& machine) {
   machine.directCommandDue = true;
-  if (std::exchange(machine.queuedForDirectCommand, true)) return;
+  if (machine.queuedForDirectCommand) return;
+  machine.queuedForDirectCommand = true;
   directCommandQueue_.push_back(machine.id);
 }
 
--- a/src/scheduler/shard_scheduler.h
+++ b/src/scheduler/shard_scheduler.h
@@ -157,7 +157,6 @@
   std::vector<wire::Command> commandsInAnswer(Machine& machine, const wire::WorkerHeartbeat& heartbeat);
   // Commands for a direct request: stops at intervals, and a wake-up if a start is due. Marks them as sent.
   std::vector<wire::Command> takeDirectCommands(Machine& machine);
-  bool wakeUpDue(Machine& machine) const;
   wire::Command stopCommandFor(const TaskId& task, const Placement& placement, Time now) const;
   bool mayCheckpoint(const Placement& placement, Time now) const;
   // How long a stopped task may take to write its checkpoint. A gang member that has finished its checkpoint
